SIGHUP reads the configuration again and moves the watch to discovery's new address

Checked: Discovery.answered turns down a version below the one held up to five times; at a new address that would have cost more than the 4 s in which its news counts as told.

Now Node.reload reads the file by the one reader and Node.switch takes over what may change: discovery and limits. The watch is begun at the new address with no version, by asking for the whole list. The old list, contexts, tries, pools, what was learned and the clock offset stay. A file that can't be used costs one line of the log and a counter; start-up, too, now names JSON nested without end and an impossible memory limit in one line. Handlers are in place before the listener is.

Scenes: lower versions at the new address, no restart seen, repeated reloads, one while draining, an address silent at first, an unusable file.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,7 +1,8 @@
 """A small language for scenes on real loopback sockets: a running dispatcher, and clients, peers and
 discovery played by hand. A scene is lines of `WHO VERB ...`; ` #` begins a remark. WHO is a client connection
 (`a`, `b`, ..., opened when first named), a connection that the dispatcher opens to a peer (`w0` the first,
-`w0/2` the second; `p` to whichever peer is chosen) or to discovery (`d`, `d/2`), or `node`, the dispatcher.
+`w0/2` the second; `p` to whichever peer is chosen) or to discovery (`d`, `d/2`; `e` after a move there), or
+`node`, the dispatcher.
 
     send MESSAGE ...     a message of MESSAGES below, or  send raw "text", where ~ ends a line as HTTP does
     expect PATTERN       bytes that match, after those already matched;  expect end  for the connection's end
@@ -10,6 +11,7 @@
     wait COUNTER N       until the counter has reached N, or what is held now, as `owed`, is exactly N
     jam                  a peer's queue of connections is filled: further ones never come up
     drain                what SIGTERM does
+    reload [SERVER]      what SIGHUP does: discovery is there now; without a name the file can't be used
 
 Nothing sleeps: whatever is waited for has ten seconds to come. Ports are the system's choice.
 """
@@ -21,6 +23,7 @@
 import shlex
 import socket
 import struct
+import tempfile
 import threading
 import time
 from collections.abc import Callable
@@ -75,10 +78,10 @@
     """One dispatcher and everybody around it."""
 
     def __init__(self, known: str = "w0", descriptors: int = 1024, **bounds: Any) -> None:
-        self.servers = {n: socket.create_server(("127.0.0.1", 0)) for n in ("w0", "w1", "d")}
+        self.servers = {n: socket.create_server(("127.0.0.1", 0)) for n in ("w0", "w1", "d", "e")}
         self.connections: dict[str, socket.socket] = {}
         self.unread: dict[str, bytes] = {}
-        facts = FACTS | {"bounds": FACTS["bounds"] | bounds}
+        self.facts = facts = FACTS | {"bounds": FACTS["bounds"] | bounds}
         listed = json.loads(self.list("1", "whole", *known.split())) if known else None
         where = self.address("d")
         config = Config("n0", ("127.0.0.1", 0), where, 1, descriptors, 192, read_settings(facts), listed)
@@ -190,6 +193,20 @@
     def _drain(self, who: str, rest: str) -> None:
         self.loop.call_soon_threadsafe(self.node.drain)
 
+    def _reload(self, who: str, rest: str) -> None:
+        """The file's address wins over the environment's, which can't change while a process runs."""
+        config = {"name": "n0", "listen": "127.0.0.1:0", "settings": self.facts}
+        config |= {"discovery": self.address(rest)} if rest else {"limits": {"sockets": "many"}}
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(config, file)
+            file.flush()
+            environ = {"RELAY_CONFIG": file.name, "RELAY_DISCOVERY": self.address("d")}
+
+            async def reload() -> None:
+                self.node.reload(environ)
+
+            asyncio.run_coroutine_threadsafe(reload(), self.loop).result(PATIENCE)
+
     def close(self) -> None:
         async def end() -> None:
             self.node.close()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -65,6 +65,8 @@
         (GOOD | {"discovery": 8500}, "discovery"),
         (GOOD | {"seed": "dice"}, "dice"),
         (GOOD | {"limits": {"sockets": 5}}, "limits.sockets"),
+        (GOOD | {"limits": {"memory_mb": -1}}, "limits.memory_mb"),
+        ("[" * 100_000, "not JSON"),
         ({k: v for k, v in GOOD.items() if k != "settings"}, "settings"),
         (GOOD | {"settings": FACTS | {"services": []}}, "classes"),
         (GOOD | {"settings": 7}, "config.json"),
@@ -141,6 +143,27 @@
         assert json.loads(process.stdout.readline())["name"] == "n0"
 
 
+def test_sighup_reads_the_configuration_again_and_never_ends_the_process(tmp_path: Path) -> None:
+    """Without a handler SIGHUP is death, with every request in hand lost."""
+    path = tmp_path / "config.json"
+    with socket.create_server(("127.0.0.1", 0)) as moved, serving(path, GOOD) as (process, client):
+        assert process.stderr is not None
+        path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        assert "not JSON" in next(line for line in process.stderr if "stays as it was" in line)
+        path.write_text(json.dumps(GOOD | {"discovery": "{}:{}".format(*moved.getsockname())}))
+        process.send_signal(signal.SIGHUP)
+        moved.settimeout(PATIENCE)
+        asked, _ = moved.accept()
+        with asked:
+            asked.settimeout(PATIENCE)
+            assert asked.recv(65536).startswith(b"GET /api/targets HTTP/1.1\r\n")
+        client.sendall(MESSAGES["get"]("/-/counters").encode())
+        answer = client.recv(65536)
+        assert b'"reloads": 1' in answer and b'"reloads.failed": 1' in answer
+        assert process.poll() is None
+
+
 def test_no_list_is_kept_when_known_is_nonsense(tmp_path: Path) -> None:
     with serving(tmp_path / "config.json", GOOD | {"known": {"rev": "old"}}) as (_, client):
         client.sendall(MESSAGES["get"]("/-/ready").encode())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -254,6 +254,81 @@
         a send job 1
         w1 gets 1
     """,
+    # Reloading.
+    "a reload moves discovery: whole list there at once, though its versions are lower": """
+        d expect GET /api/targets HTTP
+        d send list 50 whole w0
+        d expect index=50&.*\\r\\n\\r\\n
+        node reload e
+        d expect end
+        e expect GET /api/targets HTTP
+        a send job 1                        # the list is kept until the new one is in
+        w0 gets 1
+        e send list 3 whole w1
+        e expect index=3&
+        b send job 2
+        w1 gets 2
+        w0 send serve 1                     # a try that is out goes on
+        a expect 200 OK.*made
+        node wait reloads 1
+    """,
+    "a peer that discovery's new address names as before has not started anew": """
+        d expect GET /api/targets HTTP
+        d send list 5 whole w0=ready@1700000000000
+        d expect index=5&
+        a send job 1
+        w0 gets 1
+        w0 send serve 1
+        a expect 200 OK.*made
+        node reload e
+        e expect GET /api/targets HTTP
+        e send list 1 whole w0=ready@1700000000000
+        e expect index=1&
+        a send job 2
+        w0 gets 2                           # on the connection of before
+    """,
+    "a configuration that can't be used changes nothing": """
+        d expect GET /api/targets HTTP
+        d send list 5 whole w0
+        d expect index=5&
+        node reload
+        node wait reloads.failed 1
+        d send list 6 whole w1
+        d expect index=6&
+        a send job 1
+        w1 gets 1
+    """,
+    "reloads one after the other, and back": """
+        d expect GET /api/targets HTTP
+        d send list 5 whole w0
+        d expect index=5&
+        node reload e
+        e expect GET /api/targets HTTP
+        e close hard
+        e/2 expect GET /api/targets HTTP
+        node reload d
+        d/2 expect GET /api/targets HTTP
+        node reload d                       # nothing new: the call that is out goes on
+        d/2 send list 2 whole w1
+        d/2 expect index=2&
+        a send job 1
+        w1 gets 1
+        node wait reloads 3
+    """,
+    "a reload while draining still tells of peers that go": """
+        d expect GET /api/targets HTTP
+        d send list 5 whole w0
+        d expect index=5&
+        node drain
+        node reload e
+        e expect GET /api/targets HTTP
+        e send list 1 whole w1
+        e expect index=1&
+        a send job 1
+        w1 gets 1
+        w1 send serve 1
+        a expect ^HTTP/1.1 200 .*Connection: close.*made$
+    """,
     # Ending.
     "draining: still accepts for a while, tells to close, and answers what it took": """
         a send job 1
@@ -447,6 +522,22 @@
     )
 
 
+def test_new_discovery_that_is_silent_at_first_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "LATE", 0.2)
+    played(
+        """
+        node reload e
+        e expect GET /api/targets HTTP.*\\r\\n\\r\\n
+        e expect end
+        e/2 expect GET /api/targets HTTP
+        e/2 send list 1 whole w1
+        e/2 expect index=1&
+        a send job 1
+        w1 gets 1
+        """
+    )
+
+
 def test_discovery_that_began_anew_is_believed_after_a_while(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "REBUILT", 2)
     played(
--- a/wickgw/cli.py
+++ b/wickgw/cli.py
@@ -1,8 +1,8 @@
 """The command line: configuration, signals and exit.
 
-Owns the life of the process: it reads the configuration, builds the parts of the dispatcher and puts them
-together, and ends them in order. It must never end the process while a request is owed an answer, unless
-told to.
+Owns the life of the process: it reads the configuration, at the start and on SIGHUP, builds the parts of the
+dispatcher and puts them together, and ends them in order. It must never end the process while a request is
+owed an answer, unless told to, nor switch to a configuration before all of it has been read.
 """
 
 import asyncio
@@ -10,12 +10,13 @@
 import gc
 import json
 import logging
+import math
 import os
 import signal
 import stat
 import sys
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -74,18 +75,21 @@
         raw = json.loads(Path(path).read_bytes())
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: not JSON: {error}") from error
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not an object")
 
-    def text(key: str) -> str:
-        value = environ.get(f"RELAY_{key.upper()}") or raw.get(key)
+    def text(key: str, file_first: bool = False) -> str:
+        told = environ.get(f"RELAY_{key.upper()}"), raw.get(key)
+        value = (told[1] or told[0]) if file_first else (told[0] or told[1])
         if not isinstance(value, str) or not value:
             raise ConfigError(f"{path}: {key} is missing")
         return value
 
-    name, listen, discovery = text("name"), text("listen"), text("discovery")
+    # The file can be replaced while the process runs, its environment can't: where discovery is, which may
+    # change, is the file's to say. Name and listening address hold for the process's life.
+    name, listen, discovery = text("name"), text("listen"), text("discovery", file_first=True)
     try:
         where = address(listen)
         address(discovery)
@@ -96,8 +100,10 @@
         descriptors, memory = limits.get("sockets", 1024), float(limits.get("memory_mb", 192))
         if type(descriptors) is not int or descriptors < FEWEST_DESCRIPTORS:
             raise ValueError(f"limits.sockets: {descriptors!r} is too few")
+        if not 0 < memory < math.inf:
+            raise ValueError(f"limits.memory_mb: {memory!r} can't be")
         seed = int(seed, 16) if isinstance(seed, str) else int(seed)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         what = f"{error} is missing" if isinstance(error, KeyError) else str(error)
         raise ConfigError(f"{path}: {what}") from error
     return Config(name, where, discovery, seed, descriptors, memory, settings, raw.get("known"))
@@ -163,6 +169,31 @@
         }
         return {"name": self.config.name, "counters": dict(self.dispatcher.counters), "now": now}
 
+    def switch(self, new: Config) -> None:
+        """Take over what a new configuration may change: where discovery is, and the limits. The list, the
+        requests, the tries and all that was learned stay, and the clock that restarts are told by."""
+        old = self.config
+        # What a peer's connection or a request in hand was built on holds until the next start.
+        kept = replace(new, name=old.name, listen=old.listen, seed=old.seed, settings=old.settings)
+        if (new.name, new.listen, new.settings) != (old.name, old.listen, old.settings):
+            log.warning("reload: a new name, listen or settings are taken at the next start only")
+        self.config = kept
+        self.sockets.limit(new.descriptors, new.memory_mb)
+        if new.discovery != old.discovery:
+            self.discovery.move(new.discovery)
+        self.dispatcher.counters["reloads"] += 1
+        log.info("reloaded: discovery at %s", new.discovery)
+
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """SIGHUP: read the configuration again. One that can't be used changes nothing."""
+        try:
+            new = read_config(environ)
+        except ConfigError as error:
+            self.dispatcher.counters["reloads.failed"] += 1
+            log.error("the configuration stays as it was: %s", error)
+            return
+        self.switch(new)
+
     def drain(self) -> None:
         """Begin to end: clients may still come for a while, then what was taken is answered."""
         if self.clients.draining:
@@ -205,6 +236,10 @@
     """Serve until told to end."""
     loop = asyncio.get_running_loop()
     node = Node(config, loop)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.drain)
+    loop.add_signal_handler(signal.SIGHUP, node.reload, os.environ)  # unhandled, it would end the process
+    loop.add_signal_handler(signal.SIGUSR1, _print_report, node)
     try:
         host, port = node.start()
     except OSError as error:
@@ -212,9 +247,6 @@
         raise ConfigError(
             f"can't listen at {config.listen[0]}:{config.listen[1]}: {error.strerror}"
         ) from error
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, node.drain)
-    loop.add_signal_handler(signal.SIGUSR1, _print_report, node)
     try:
         log.info("%s listens at %s:%d", config.name, host, port)
         # A collection of all that was built at the start would stand still for tens of milliseconds.
@@ -273,7 +305,7 @@
 def serve(
     verbose: Annotated[bool, typer.Option("--verbose", "-v", help="Log more.")] = False,
 ) -> None:
-    """Serve as one dispatcher, configured by RELAY_CONFIG, until SIGTERM."""
+    """Serve as one dispatcher, configured by RELAY_CONFIG, until SIGTERM; SIGHUP reads it again."""
     with _told_plainly():
         config = read_config(os.environ)
         _set_up_log(verbose)
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -158,6 +158,13 @@
             return
         self.loop.add_writer(sock.fileno(), self._writable)
 
+    def move(self, where: str) -> None:
+        """Discovery is elsewhere from now on: the whole list is asked for there at once. Its versions are its
+        own, so the version held says nothing of them; the list itself is kept until the new one is in."""
+        self._lose(self.connection)
+        self.where, self.version, self.failures, self.older = where, None, 0, 0
+        self.open()
+
     def _writable(self) -> None:
         sock, self.opening = self.opening, None
         assert sock is not None
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -79,16 +79,20 @@
     """How many connections there may be, and the task that opens transports."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: int, memory_mb: float) -> None:
-        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        limit = descriptors if soft == resource.RLIM_INFINITY else min(descriptors, soft)
         self.loop = loop
-        pairs = (limit - min(RESERVE, limit // 3)) // 2
-        in_memory = int((memory_mb - BASE_MB) * 1e6 / _PAIR)
-        self.for_clients = self.for_peers = max(8, min(pairs, in_memory))
+        self.limit(descriptors, memory_mb)
         self.opening = 0  # sockets that have no transport yet
         self._connected: asyncio.Queue[tuple[socket.socket, Connection]] = asyncio.Queue()
         self._task = loop.create_task(self._open())
 
+    def limit(self, descriptors: int, memory_mb: float) -> None:
+        """Share out what the process may hold. Connections beyond a lower limit are not closed for it."""
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        most = descriptors if soft == resource.RLIM_INFINITY else min(descriptors, soft)
+        pairs = (most - min(RESERVE, most // 3)) // 2
+        in_memory = int((memory_mb - BASE_MB) * 1e6 / _PAIR)
+        self.for_clients = self.for_peers = max(8, min(pairs, in_memory))
+
     def adopt(self, sock: socket.socket, connection: Connection) -> None:
         """Give a connected socket to its connection; the transport owns the descriptor from then on."""
         self.opening += 1
