After SIGTERM clients are served on for 1.8 s on the connections that they have

Counters printed every half second showed why: the rolling restart tells n0 to end at 13.0 s and n1 at 16.0 s; n0 closed all client connections after 0.6 s, so n1 had every client (owed 17 -> 48), closed its own at 16.6 s, and n0 was back only at 17.7 s: for a second nobody took anything. Lines at fault: Node.drain, ACCEPT_ON and Clients.drain, which closed everything at once.

Now /-/ready says 503 at once, clients are served on, and the end begins 1.7 s before the process has to be gone, or after 0.6 s if no client is connected.

--- a/wickgw/cli.py
+++ b/wickgw/cli.py
@@ -34,6 +34,7 @@
 log = logging.getLogger("wickgw")
 VERSION = "0.1.0"
 ACCEPT_ON = 0.6  # seconds after SIGTERM in which clients may still come: 0.4 announced, and some
+WIND_DOWN = 1.7  # seconds before its end in which a dispatcher takes nothing more: most jobs take less
 SETTLE = 0.02  # seconds between looks at whether all is answered
 # SIGKILL comes no sooner after SIGTERM than the longest deadline (3 s if it is longer) and 0.7 s more.
 LONGEST, SPARE = 3.0, 0.5
@@ -195,19 +196,25 @@
         self.switch(new)
 
     def drain(self) -> None:
-        """Begin to end: clients may still come for a while, then what was taken is answered."""
-        if self.clients.draining:
+        """Begin to end: clients are served on for a while, then what was taken is answered."""
+        if self.clients.leaving:
             return
         log.info("draining")
-        self.clients.drain()
+        self.clients.leave()
         within = min(LONGEST, max(c.deadline for c in self.config.settings.classes)) + SPARE
         self.dispatcher.stop(within)
         # An answer that its client does not read must not keep the process until it is killed.
         self.loop.call_later(within + 0.1, self._finish)
-        self.loop.call_later(ACCEPT_ON, self._stop_listening)
-
-    def _stop_listening(self) -> None:
-        self.clients.stop_listening()
+        turn = self.loop.time() + max(ACCEPT_ON, within - WIND_DOWN)
+        self.loop.call_later(ACCEPT_ON, self._wind_down, turn)
+
+    def _wind_down(self, turn: float) -> None:
+        """Take no more. Until then clients that have a connection keep it: sent away earlier, all of them at
+        once would fall upon the dispatchers that are left, or upon none where the next one leaves too."""
+        if self.clients.connections and self.loop.time() < turn:
+            self.loop.call_later(SETTLE, self._wind_down, turn)
+            return
+        self.clients.drain()
         self.loop.call_later(SETTLE, self._quiet)  # what was accepted last may still be about to be read
 
     def _quiet(self) -> None:
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -169,7 +169,8 @@
         self.connections: set[ClientConnection] = set()
         self.idle: OrderedDict[ClientConnection, None] = OrderedDict()  # owes nothing; longest so first
         self.ready = False  # a list is held
-        self.draining = False
+        self.leaving = False  # the process is about to end: clients should go elsewhere
+        self.draining = False  # and takes nothing more: every answer is its connection's last
         self.listener: socket.socket | None = None
         self._resume: asyncio.TimerHandle | None = None  # while not accepting
         self._sweeper = loop.call_later(SWEEP, self._sweep)
@@ -297,16 +298,21 @@
             connection.reject(405, "only GET here", {"Allow": "GET"})
         elif path == "/-/counters":
             connection.write(200, (json.dumps(self.report(), sort_keys=True) + "\n").encode(), JSON)
-        elif path == "/-/ready" and (self.draining or not self.ready):
-            connection.write(503, b"draining\n" if self.draining else b"no list yet\n", TEXT)
+        elif path == "/-/ready" and (self.leaving or not self.ready):
+            connection.write(503, b"draining\n" if self.leaving else b"no list yet\n", TEXT)
         else:
             connection.write(200, b"ok\n", TEXT)
 
     # Ending.
 
+    def leave(self) -> None:
+        """Say that this dispatcher is not ready any more, and go on serving."""
+        self.leaving = True
+
     def drain(self) -> None:
-        """Answers carry `Connection: close` from now on."""
+        """Every answer is its connection's last from now on, and no more connections are accepted."""
         self.draining = True
+        self.stop_listening()
 
     def stop_listening(self) -> None:
         """Take what has connected already, then accept no more."""
