Connections that bring no job are bounded at 2 s and make room before clients that do

Each accepted socket waited for one task that takes some turns of the loop for each (Sockets._open), tries and discovery behind hundreds of clients. Found by the test: connections not opened yet must not be passed over for a client that idles.

Now one timer bounds what never comes in, and a client that has brought a job may idle on; room is made by those that were answered for the last time, then those without a job, then by idle ones; what comes after a last answer is thrown away in the read buffer without a copy; opening has tasks for each side; the limits are measured, with more for clients than for peers. At the end all that has connected is accepted before the listener closes.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,6 +5,7 @@
 `node`, the dispatcher.
 
     send MESSAGE ...     a message of MESSAGES below, or  send raw "text", where ~ ends a line as HTTP does
+    open                 a client connects and says nothing
     expect PATTERN       bytes that match, after those already matched;  expect end  for the connection's end
     gets ID              the job of that id, whole, at a peer
     close [hard]         end the connection, hard with a reset; a server without connections stops listening
@@ -70,6 +71,7 @@
     "serve": lambda name: HEAD + event("started", name) + event("done", name, "result=made") + "0\r\n\r\n",
     "last": lambda state, name: HEAD + event(state, name) + "0\r\n\r\n",
     "status": lambda code, *fields: "\r\n".join([f"HTTP/1.1 {code} X", *fields, "Content-Length: 0", "", ""]),
+    "bytes": lambda count: "x" * int(count),
     "raw": lambda text: text.replace("~", "\r\n").encode().decode("unicode_escape"),
 }
 
@@ -156,6 +158,9 @@
                 return
         self.unread[who] = self.unread[who][match.end() :]
 
+    def _open(self, who: str, rest: str) -> None:
+        self._at(who)
+
     def _gets(self, who: str, name: str) -> None:
         self._expect(who, rf"Req-Id: {name}\r\n.*?\r\n\r\n")
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,9 +9,10 @@
 import pytest
 from scenario import Scene
 
-from wickgw.net import discovery
+from wickgw.net import clients, discovery
 from wickgw.net.dispatch import Answer, AnswerKind, RequestContext
 from wickgw.net.peers import Job
+from wickgw.net.sockets import BASE_MB, RESERVE, Connection, Sockets
 
 SCENES: dict[str, str] = {
     # A request's life.
@@ -148,7 +149,10 @@
             ("job by GET", 405, "get /look"),
             ("no id", 400, 'raw "POST /look HTTP/1.1~Host: x~Req-Deadline-Ms: 9~~"'),
             ("no deadline", 400, 'raw "POST /look HTTP/1.1~Host: x~Req-Id: 9~~"'),
-            ("malformed deadline", 400, "job 1 look -5"),
+            *(
+                (f"deadline {text!r}", 400, f"job 1 look {text}")
+                for text in ("-5", "1e3", "soon", "9" * 20, "''")
+            ),
             ("malformed extras", 400, 'job 1 look 500 "" "Req-Extra: slots=many"'),
         )
     },
@@ -163,7 +167,13 @@
             ("a bare line feed", 400, "GET / HTTP/1.1\\nHost: x\\n"),
             ("no host", 400, "GET / HTTP/1.1~~"),
             ("two lengths", 400, "POST / HTTP/1.1~Host: x~" + "Content-Length: 1~" * 2 + "~"),
-            ("a signed length", 400, "POST / HTTP/1.1~Host: x~Content-Length: +1~~"),
+            *(
+                (f"length {text!r}", 400, f"POST / HTTP/1.1~Host: x~Content-Length: {text}~~")
+                for text in ("+1", "-1", "0x10", "many", "1, 1", "", "9" * 20)
+            ),
+            ("a target that no peer reads", 400, "POST /look<x> HTTP/1.1~Host: x~~"),
+            ("a target too long", 414, "POST /look?" + "x" * 3000 + " HTTP/1.1~Host: x~~"),
+            ("a head too long", 431, "POST /look HTTP/1.1~X: " + "x" * 20000),
             ("both framings", 400, "POST / HTTP/1.1~Host: x~Content-Length: 1~Transfer-Encoding: chunked~~"),
             ("chunked", 501, "POST / HTTP/1.1~Host: x~Transfer-Encoding: chunked~~"),
             ("too large a body", 413, "POST / HTTP/1.1~Host: x~Content-Length: 65537~~"),
@@ -179,6 +189,16 @@
         a expect ^HTTP/1.1 413 .*body too large\\n
         a expect end
     """,
+    "60 MB that nobody wants are thrown away, and the answer is read": """
+        a send raw "POST / HTTP/1.1~Host: x~Content-Length: 60000000~~"
+        a send bytes 60000000
+        a expect ^HTTP/1.1 413 .*body too large\\n
+        a expect end
+    """,
+    "nobody waits longer than the class allows, whatever the client says": """
+        a send job 1 once 999999999
+        w0 expect Req-Deadline-Ms: [1-4]\\d\\d\\d\\r\\n
+    """,
     "an id that is in use is turned down, and the first keeps its answer": """
         a send job 1
         w0 gets 1
@@ -454,10 +474,64 @@
         scene.close()
 
 
+@pytest.mark.parametrize("half", ["", "send raw 'POST /look HTTP/1.1~Ho'"])
+def test_hundreds_that_bring_no_job_close_nobody_out(half: str) -> None:
+    """A client that has brought a job keeps its connection, and a new one gets in, in a flood of others."""
+    scene = Scene(descriptors=32)
+    try:
+        scene.play("a send job 1\nw0 gets 1\nw0 send serve 1\na expect 200 OK.*made")
+        for n in range(3 * scene.node.sockets.for_clients):
+            scene.play(f"c{n} open\n" + (f"c{n} {half}" if half else ""))
+        scene.play("b send job 2\nw0 gets 2\nw0 send serve 2\nb expect 200 OK.*made")
+        scene.play("a send job 3\nw0 gets 3\nw0 send serve 3\na expect 200 OK.*made\nnode wait evicted 1")
+    finally:
+        scene.close()
+
+
+def test_bad_clients_are_told_or_closed_soon_and_idle_usual_ones_are_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(clients, "PATIENCE", 0.3)
+    monkeypatch.setattr(clients, "SWEEP", 0.02)
+    played(
+        """
+        a send job 1
+        w0 gets 1
+        w0 send serve 1
+        a expect 200 OK.*made
+        b open
+        b expect end
+        c send raw "POST /look HTTP/1.1~Host: x~Content-Length: 5~~ab"
+        c expect ^HTTP/1.1 408 .*Connection: close.*\\r\\n\\r\\n.*\\n
+        c expect end
+        d0 send get /-/healthy
+        d0 expect 200 OK.*ok\\n
+        d0 expect end
+        node wait silent 2
+        a send raw "POST /look HTTP/1.1~"   # idle all the while; now it sends half a request, too
+        a expect ^HTTP/1.1 408 .*\\r\\n\\r\\n.*\\n
+        a expect end
+        """
+    )
+
+
+def test_first_bytes_that_come_late_give_no_more_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Who says nothing, then sends half a request, is owed an error by the time of its connecting."""
+    scene = Scene()
+    try:
+        scene.play("a open\nnode wait client_connections 1")
+        connection = next(iter(scene.node.clients.connections))
+        opened = connection.since
+        scene.play("a send raw 'POST'\nb send get /-/healthy\nb expect 200 OK")
+        assert connection.partial and connection.since == opened
+    finally:
+        scene.close()
+
+
 def test_clients_beyond_the_limit_wait_until_one_is_answered() -> None:
     scene = Scene(descriptors=32)
     try:
-        busy = scene.node.sockets.for_clients
+        busy = scene.node.sockets.for_clients = 8
         for n in range(busy):
             scene.play(f"c{n} send job {n} once\nw0/{n} gets {n}")
             scene.play(f"w0/{n} send take\nw0/{n} send event started {n}\nnode wait taken {n + 1}")
@@ -583,6 +657,45 @@
         scene.close()
 
 
+@pytest.mark.parametrize("descriptors, memory", [(256, 64), (384, 80), (1024, 192)])
+def test_limits_leave_room_for_usual_clients_and_for_tries(descriptors: int, memory: int) -> None:
+    async def limits() -> tuple[int, int]:
+        sockets = Sockets(asyncio.get_running_loop(), descriptors, memory)
+        sockets.close()
+        return sockets.for_clients, sockets.for_peers
+
+    ours, peers = asyncio.run(limits())
+    assert ours > descriptors / 3 and peers > 50
+    assert ours + peers + RESERVE <= descriptors
+    assert BASE_MB + (ours * 176 + peers * 180) * 1024 / 1e6 <= memory
+
+
+def test_flood_of_clients_does_not_delay_a_try(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Making a transport takes turns of the loop; hundreds of accepted sockets may wait for theirs."""
+    opened = list[socket.socket]()
+
+    async def open_all() -> None:
+        loop = asyncio.get_running_loop()
+
+        async def create_connection(_: Any, sock: socket.socket) -> None:
+            opened.append(sock)
+            if sock is not peer:
+                await asyncio.Event().wait()
+
+        monkeypatch.setattr(loop, "create_connection", create_connection)
+        sockets = Sockets(loop, 1024, 192)
+        with socket.socket() as client, socket.socket() as peer:
+            for _ in range(20):
+                sockets.adopt(client, Connection(), accepted=True)
+            sockets.adopt(peer, Connection())
+            for _ in range(5):
+                await asyncio.sleep(0)
+            sockets.close()
+            assert peer in opened
+
+    asyncio.run(open_all())
+
+
 def test_error_on_accept_does_not_end_the_listening(monkeypatch: pytest.MonkeyPatch) -> None:
     scene, errors = Scene(), [OSError(errno.EMFILE, "Too many open files")]
     real = socket.socket.accept
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -2,10 +2,12 @@
 
 Owns the listening socket, every client connection, and the one timer that looks after them. A request read
 here becomes a request context and gets the answer that the dispatcher gives it, whole, on the connection it
-came by. It must never answer a job by itself once it is taken, nor close a connection that owes an answer.
+came by. It must never answer a job by itself once it is taken, nor close a connection that owes an answer,
+nor let connections that bring no jobs keep out those that do.
 """
 
 import asyncio
+import itertools
 import json
 import logging
 import re
@@ -22,11 +24,14 @@
 
 log = logging.getLogger("wickgw")
 ALLOWANCE = 0.015  # seconds of a client's time left for its request's way here and the answer's way back
-ACCEPT_AT_ONCE = 64  # connections accepted before others get their turn
-ACCEPT_PAUSE = 0.05  # seconds without accepting after it failed, or while all connections are busy
-SWEEP = 1.0  # seconds between looks at connections that should be moving
-PARTIAL = 15.0  # seconds that a request may take to come in
+ACCEPT_AT_ONCE = 32  # connections accepted, and not opened yet, before others get their turn
+ACCEPT_PAUSE = 0.02  # seconds without accepting after it failed, or while all connections are busy
+SWEEP = 0.25  # seconds between looks at connections that should be moving
+# Whoever connects is owed an error or a close within 3 s; usual clients send a whole request at once.
+PATIENCE = 2.0  # seconds that a request may take to come in, and a connection without a job may be silent
 LINGER = 2.0  # seconds for a client to read its last answer before the connection is dropped
+UNREAD = 15.0  # the same while some of the answer is still here
+LOOKS = 16  # connections looked at to make room for one
 ID = re.compile(r"[0-9A-Za-z._-]{1,64}")
 MS = re.compile(r"[0-9]{1,9}")
 EXTRA = re.compile(r"\s*([0-9A-Za-z_-]+)\s*=\s*([^,=]*?)\s*")
@@ -43,14 +48,15 @@
         self.parser = http.RequestParser()
         self.context: RequestContext | None = None  # the request that waits for its answer
         self.keep = True  # as the request in hand wants it
-        self.since = 0.0  # when it last began to wait for bytes
+        self.known = False  # it has brought a job
+        self.fresh = True  # nothing has been answered on it
+        self.since = 0.0  # when it last began to wait for bytes; until the first answer, when it was opened
         self.reading = False
         self.ending = False  # the last answer is written; what still comes is not read
         self.paused = False
 
     def opened(self) -> None:
         self.since = self.clients.loop.time()
-        self.clients.idle[self] = None
 
     def never_opened(self) -> None:
         self.clients.forget(self)
@@ -60,15 +66,18 @@
         """Bytes of answers that are still on their way out of this process."""
         return self.transport.get_write_buffer_size() if self.transport is not None else 0
 
+    @property
+    def at_rest(self) -> bool:
+        """Closing it harms nobody: its last answer is out, or it is between requests."""
+        return not self.unwritten if self.ending else self.quiet() and not self.partial
+
     @property
     def partial(self) -> bool:
         """A request has begun to come in, and isn't whole."""
         return self.context is None and not self.ending and self.parser.partial
 
     def received(self, data: bytes) -> None:
-        if self.ending:
-            return
-        if not self.parser.partial:
+        if not self.parser.partial and not self.fresh:
             self.since = self.clients.loop.time()
         self.parser.feed(data)
         if self.context is None:
@@ -107,12 +116,14 @@
             return
         keep = self.keep and not self.clients.draining
         self.transport.write(http.response(status, body, fields, keep))
-        self.since = self.clients.loop.time()
+        self.since, self.fresh = self.clients.loop.time(), False
         if not keep:
             # Closing with bytes unread would reset the connection and could destroy the answer on its way:
-            # so this side only ends its sending, and the client, or the sweep, closes it.
-            self.ending = True
-            self.clients.idle.pop(self, None)
+            # so this side only ends its sending, and the client, or the sweep, closes it. What still comes
+            # may be tens of megabytes: it is neither copied nor kept.
+            self.ending = self.discarding = True
+            self.parser = http.RequestParser()
+            self.clients.waits(self)
             if self.paused:
                 self.paused = False
                 self.transport.resume_reading()
@@ -120,13 +131,13 @@
 
     def taken(self, context: RequestContext) -> None:
         """A request of this connection waits for its answer."""
-        self.context = context
-        self.clients.idle.pop(self, None)
+        self.context, self.known = context, True
+        self.clients.busy(self)
 
     def answer(self, answer: Answer) -> None:
         """The final answer to the request that was taken."""
         self.context = None
-        self.clients.idle[self] = None
+        self.clients.waits(self)
         if answer.kind is AnswerKind.SERVED:
             self.write(200, answer.result, TEXT)
         elif answer.kind is AnswerKind.REFUSED:
@@ -165,9 +176,11 @@
         report: Callable[[], dict[str, object]],
     ) -> None:
         self.loop, self.sockets, self.dispatcher, self.report = loop, sockets, dispatcher, report
-        self.classes = {c.name: n for n, c in enumerate(settings.classes)}
+        self.classes = {c.name: (n, c.deadline) for n, c in enumerate(settings.classes)}
         self.connections: set[ClientConnection] = set()
-        self.idle: OrderedDict[ClientConnection, None] = OrderedDict()  # owes nothing; longest so first
+        # Connections that owe nothing, longest so first, in the order in which they make room for others:
+        # those whose last answer is written, those that have brought no job yet, those that have.
+        self.idle: tuple[OrderedDict[ClientConnection, None], ...] = tuple(OrderedDict() for _ in range(3))
         self.ready = False  # a list is held
         self.leaving = False  # the process is about to end: clients should go elsewhere
         self.draining = False  # and takes nothing more: every answer is its connection's last
@@ -192,11 +205,12 @@
         host, port = self.listener.getsockname()
         return host, port
 
-    def _accept(self) -> None:
-        """Accept what waits. Neither an error nor a lack of descriptors ends the listening."""
+    def _accept(self, last: bool = False) -> None:
+        """Accept what waits; at the last time all of it, since closing the listener would reset the rest.
+        Neither an error nor a lack of descriptors ends the listening."""
         assert self.listener is not None
-        for _ in range(ACCEPT_AT_ONCE):
-            if len(self.connections) >= self.sockets.for_clients and not self._close_one_idle():
+        while last or self.sockets.opening < ACCEPT_AT_ONCE:
+            if len(self.connections) >= self.sockets.for_clients and not self._make_room() and not last:
                 self._pause()
                 return
             try:
@@ -206,14 +220,16 @@
             except OSError as error:
                 log.warning("accept failed: %s", error)
                 self.dispatcher.counters["accept_errors"] += 1
-                self._close_one_idle()
-                self._pause()
-                return
+                if not self._make_room() or not last:
+                    self._pause()
+                    return
+                continue
             sock.setblocking(False)
             connection = ClientConnection(self)
             self.connections.add(connection)
+            self.waits(connection)  # not at rest until it is opened, so it is not closed unseen
             self.dispatcher.counters["connections"] += 1
-            self.sockets.adopt(sock, connection)
+            self.sockets.adopt(sock, connection, accepted=True)
 
     def _pause(self) -> None:
         if self.listener is not None:
@@ -226,37 +242,60 @@
             self.loop.add_reader(self.listener.fileno(), self._accept)
             self._accept()
 
-    def _close_one_idle(self) -> bool:
-        """Make room: a client whose connection closes between requests opens another. One whose request lies
-        unread is no longer between requests."""
-        for connection in self.idle:
-            if not connection.partial and connection.quiet():
-                self._drop(connection)
-                return True
-        return False
+    def _make_room(self) -> bool:
+        """Close a connection that owes nothing. A client between requests opens another, so it is asked last:
+        hundreds that say nothing must not close it out. One whose request lies unread is not closed."""
+        first = next((idle for idle in self.idle if idle), self.idle[0])
+        looks = list(itertools.islice(first, LOOKS))
+        at_rest = (c for c in looks if c.at_rest)
+        # If none is: one that has sent a part of its first request, and sends no more.
+        halves = (c for c in looks if c.partial and not c.known and c.quiet())
+        connection = next(itertools.chain(at_rest, halves), None)
+        if connection is None:
+            return False
+        self.dispatcher.counters["evicted"] += 1
+        self._drop(connection)
+        return True
 
     def _drop(self, connection: ClientConnection) -> None:
         self.forget(connection)
-        connection.ending = True
+        connection.ending = connection.discarding = True
         if connection.transport is not None:
             connection.transport.close()
 
+    def waits(self, connection: ClientConnection) -> None:
+        """A connection owes nothing from now on."""
+        self.busy(connection)
+        self.idle[0 if connection.ending else 2 if connection.known else 1][connection] = None
+
+    def busy(self, connection: ClientConnection) -> None:
+        """A connection owes an answer from now on."""
+        for idle in self.idle:
+            idle.pop(connection, None)
+
     def forget(self, connection: ClientConnection) -> None:
         """A connection is closed."""
         self.connections.discard(connection)
-        self.idle.pop(connection, None)
+        self.busy(connection)
 
     def _sweep(self) -> None:
-        """One timer for all: requests that never come in whole, and answers that are never read."""
+        """One timer for all: connections that never say anything, requests that never come in whole, and
+        answers that are never read. A client that has brought a job may be idle for as long as it likes."""
         self._sweeper = self.loop.call_later(SWEEP, self._sweep)
         now = self.loop.time()
         for connection in list(self.connections):
-            if connection.ending and now > connection.since + LINGER:
-                if not connection.unwritten or now > connection.since + PARTIAL:
+            waited = now - connection.since
+            if connection.ending:
+                if waited > (UNREAD if connection.unwritten else LINGER):
                     connection.abort()
-            elif connection.partial and now > connection.since + PARTIAL:
+            elif waited <= PATIENCE or connection.context is not None or connection.transport is None:
+                continue
+            elif connection.partial:
                 connection.keep = False
                 connection.reject(408, "the request did not come in")
+            elif not connection.known and connection.quiet():
+                self.dispatcher.counters["silent"] += 1
+                self._drop(connection)
 
     # Requests.
 
@@ -266,8 +305,8 @@
         if path.startswith("/-/"):
             self._operator(connection, request.method, path)
             return
-        cls = self.classes.get(unquote(path[1:].partition("/")[0]))
-        if cls is None:
+        cls, longest = self.classes.get(unquote(path[1:].partition("/")[0]), (-1, 0.0))
+        if cls < 0:
             connection.reject(404, "no such class")
             return
         if request.method != "POST":
@@ -282,13 +321,14 @@
         elif slots is None:
             connection.reject(400, "Req-Extra is malformed")
         else:
-            due = self.loop.time() + int(wait) / 1000 - ALLOWANCE
+            # No client waits longer than its class allows, whatever it says: 11 days would be owed an answer.
+            due = self.loop.time() + min(int(wait) / 1000, longest) - ALLOWANCE
             job = Job(request.method, request.target, request.body)
             context = RequestContext(name, cls, due, job, connection, slots)
             connection.taken(context)
             if not self.dispatcher.take(context):
                 connection.context = None
-                self.idle[connection] = None
+                self.waits(connection)
                 connection.reject(409, "Req-Id is in use")
 
     def _operator(self, connection: ClientConnection, method: str, path: str) -> None:
@@ -317,8 +357,7 @@
     def stop_listening(self) -> None:
         """Take what has connected already, then accept no more."""
         if self.listener is not None:
-            if self._resume is None:
-                self._accept()
+            self._accept(last=True)
             if self._resume is not None:
                 self._resume.cancel()
             self.loop.remove_reader(self.listener.fileno())
@@ -327,8 +366,8 @@
 
     def close_idle(self) -> None:
         """Close the connections that owe nothing."""
-        for connection in list(self.idle):
-            if not connection.partial and connection.quiet():
+        for connection in [*self.idle[1], *self.idle[2]]:
+            if connection.at_rest:
                 self._drop(connection)
 
     @property
--- a/wickgw/net/http.py
+++ b/wickgw/net/http.py
@@ -10,11 +10,14 @@
 from http import HTTPStatus
 
 MAX_HEAD = 16 * 1024
+MAX_TARGET = 2048
 MAX_FIELDS = 100
 MAX_BODY = 64 * 1024
 MAX_CHUNK_LINE = 256
 TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") ([\x21-\x7e]+) HTTP/([0-9])\.([0-9])")
+# What a target may hold: a peer closes on one that it can't read, and that would look like a peer in trouble.
+TARGET = re.compile(rb"/(?:[0-9A-Za-z._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*")
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?")
 FIELD = re.compile(rb"(" + TOKEN + rb"):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*")
 CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
@@ -101,7 +104,8 @@
         end = self.buffer.find(b"\r\n\r\n", max(0, self.searched - 3))
         if (end if end >= 0 else len(self.buffer)) > MAX_HEAD:
             raise HttpError(431, "head too large")
-        if STRAY.search(self.buffer, 0, end if end >= 0 else len(self.buffer)):
+        # From where the last search ended: a head that drips in must not be searched anew with every drop.
+        if STRAY.search(self.buffer, max(0, self.searched - 1), end if end >= 0 else len(self.buffer)):
             raise HttpError(400, "stray control byte in the head")
         if end < 0:
             self.searched = len(self.buffer)
@@ -164,7 +168,9 @@
         fields = _fields(lines[1:])
         if match[4] != b"0" and "host" not in fields:
             raise HttpError(400, "no Host")
-        if match[2][:1] != b"/":
+        if len(match[2]) > MAX_TARGET:
+            raise HttpError(414, "target too long")
+        if not TARGET.fullmatch(match[2]):
             raise HttpError(400, "the target must be a path")
         length = _length(fields)
         if "transfer-encoding" in fields:
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -1,9 +1,9 @@
 """Descriptors and transports: what client connections, peer connections and discovery have in common.
 
-Owns the count of descriptors each side may hold, the buffer that all reads go through, and the one task
-that turns connected sockets into asyncio transports (asyncio offers that only as a coroutine; one task for
-the whole process means that no connection and no request starts one). It must never read a message or know
-what is in it.
+Owns the count of descriptors each side may hold, the buffer that all reads go through, and the few tasks
+that turn connected sockets into asyncio transports (asyncio offers that only as a coroutine; tasks that live
+as long as the process mean that no connection and no request starts one). It must never read a message or
+know what is in it.
 """
 
 import asyncio
@@ -13,13 +13,16 @@
 from typing import cast
 
 log = logging.getLogger("wickgw")
-RESERVE = 64  # descriptors for the listener, discovery, the loop itself, logs and imports
-BASE_MB = 50  # what the process holds without a connection, and some
+RESERVE = 24  # descriptors for the listener, discovery, the loop itself, logs and imports
+BASE_MB = 36  # what the process holds without a connection, 28 as measured, and some
+OPENERS = 4  # tasks for each side: opening one takes some turns of the loop, and others wait behind it
+FOR_CLIENTS = 0.6  # of the other descriptors: usual clients hold a third of all, the rest is room for others
 # A read is finished before the loop turns to the next one, so all connections can share one buffer.
 _SCRATCH = memoryview(bytearray(32 * 1024))
-# The most that a client connection and a peer connection hold together: heads, a request's body here and on
-# its way out, a result here and on its way out, and what one read adds to either side.
-_PAIR = 2 * 16 * 1024 + 4 * 64 * 1024 + 2 * len(_SCRATCH)
+# The most that a connection holds: a head, a body and a read on top on the side of a client, whose answer is
+# written; a request on its way out, a line of a response and a read on top on the side of a peer.
+_CLIENT = 16 * 1024 + 64 * 1024 + len(_SCRATCH) + 64 * 1024
+_PEER = 80 * 1024 + 68 * 1024 + len(_SCRATCH)
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -29,6 +32,7 @@
     sock: socket.socket | None = (
         None  # the same descriptor, to look at what is unread; the transport closes it
     )
+    discarding = False  # what comes is thrown away where it lies
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The socket is open."""
@@ -41,6 +45,8 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Bytes are in. An error here that nobody foresaw ends this connection and nothing else."""
+        if self.discarding:
+            return
         try:
             self.received(bytes(_SCRATCH[:nbytes]))
         except Exception:
@@ -76,32 +82,36 @@
 
 
 class Sockets:
-    """How many connections there may be, and the task that opens transports."""
+    """How many connections there may be, and the tasks that open transports."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: int, memory_mb: float) -> None:
         self.loop = loop
         self.limit(descriptors, memory_mb)
         self.opening = 0  # sockets that have no transport yet
-        self._connected: asyncio.Queue[tuple[socket.socket, Connection]] = asyncio.Queue()
-        self._task = loop.create_task(self._open())
+        # A flood of clients must not delay a try or discovery: each side has tasks of its own.
+        self._connected = {side: asyncio.Queue[tuple[socket.socket, Connection]]() for side in (True, False)}
+        self._tasks = [
+            loop.create_task(self._open(queue)) for queue in self._connected.values() for _ in range(OPENERS)
+        ]
 
     def limit(self, descriptors: int, memory_mb: float) -> None:
         """Share out what the process may hold. Connections beyond a lower limit are not closed for it."""
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         most = descriptors if soft == resource.RLIM_INFINITY else min(descriptors, soft)
-        pairs = (most - min(RESERVE, most // 3)) // 2
-        in_memory = int((memory_mb - BASE_MB) * 1e6 / _PAIR)
-        self.for_clients = self.for_peers = max(8, min(pairs, in_memory))
+        free = most - min(RESERVE, most // 3)
+        clients, peers = free * FOR_CLIENTS, free * (1 - FOR_CLIENTS)
+        fit = min(1.0, (memory_mb - BASE_MB) * 1e6 / (clients * _CLIENT + peers * _PEER))
+        self.for_clients, self.for_peers = max(8, int(clients * fit)), max(8, int(peers * fit))
 
-    def adopt(self, sock: socket.socket, connection: Connection) -> None:
+    def adopt(self, sock: socket.socket, connection: Connection, accepted: bool = False) -> None:
         """Give a connected socket to its connection; the transport owns the descriptor from then on."""
         self.opening += 1
         connection.sock = sock
-        self._connected.put_nowait((sock, connection))
+        self._connected[accepted].put_nowait((sock, connection))
 
-    async def _open(self) -> None:
+    async def _open(self, queue: asyncio.Queue[tuple[socket.socket, Connection]]) -> None:
         while True:
-            sock, connection = await self._connected.get()
+            sock, connection = await queue.get()
             try:
                 await self.loop.create_connection(lambda c=connection: c, sock=sock)  # type: ignore[misc]
             except Exception as error:  # out of memory or descriptors: one connection, not the task
@@ -112,11 +122,12 @@
                 self.opening -= 1
 
     def close(self) -> None:
-        """End the task and whatever it has not opened yet."""
-        self._task.cancel()
-        while not self._connected.empty():
-            sock, _ = self._connected.get_nowait()
-            sock.close()
+        """End the tasks and whatever they have not opened yet."""
+        for task in self._tasks:
+            task.cancel()
+        for queue in self._connected.values():
+            while not queue.empty():
+                queue.get_nowait()[0].close()
 
 
 def address(text: str) -> tuple[str, int]:
