A far worker's way is not taken for its queue, and room counts in whole jobs

Lines at fault, balance.py _note: a wait over aim / 4 = 20 ms cut the room to what ran before, so every start afar left room for one job. And _free: load < room let a job in on a quarter of a slot.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -187,6 +187,32 @@
     assert c.sends(c.wait(0.15)) == []
 
 
+@pytest.mark.parametrize("queued, second", [(0.0, True), (0.08, False)])
+def test_way_to_a_far_worker_is_not_taken_for_its_queue(queued: float, second: bool) -> None:
+    """Each start is heard of 70 ms late from afar: taken for waiting, only one job at a time went there."""
+    c = Caller(site(may_copy=False), entries=FLEET[1:2])
+    for n in range(5):
+        c.arrive(f"r{n}", 1)
+        c.wait(0.07 + (queued if n else 0.0))
+        c.start(f"r{n}")
+        c.end(f"r{n}")
+    c.arrive("r5", 1)
+    c.wait(0.07)
+    c.start("r5")
+    assert bool(c.sends(c.arrive("r6", 1))) is second
+
+
+def test_a_quarter_of_a_slot_is_no_room_for_another_job() -> None:
+    c = Caller(site(may_copy=False), entries=FLEET[:1])
+    for n, wait in enumerate((0.001, 0.2, 0.001)):  # the second waited: one job at a time is what it takes
+        c.arrive(f"r{n}", 1)
+        c.wait(wait)
+        c.start(f"r{n}")
+        if n < 2:
+            c.end(f"r{n}")
+    assert c.sends(c.arrive("r3", 1)) == []
+
+
 def test_worker_that_keeps_us_waiting_is_left_to_the_other_dispatchers_for_a_while() -> None:
     c = Caller(site(dispatchers=12, may_copy=False), entries=FLEET[:1])
     c.balancer.wait = 0.2  # starts are late on the whole
@@ -232,13 +258,17 @@
 
 def test_work_with_a_late_worth_is_held_on_behind_what_is_in_time() -> None:
     c = Caller(site(classes=(KEYED[i.Group.ALL],), may_copy=False), entries=FLEET[:1])
+    c.arrive("known")  # begun at once: a later wait there is no way
+    c.start("known")
+    c.end("known")
     c.arrive("first")
     c.arrive("late")
     c.wait(0.5)
     c.arrive("fresh")
     c.start("first")
     assert c.sends(c.end("first")) == [("fresh", "w0")]
-    assert c.sends(c.start("fresh")) == [("late", "w0")]
+    c.start("fresh")
+    assert c.sends(c.end("fresh")) == [("late", "w0")]
 
 
 def test_long_line_of_held_work_is_not_walked_for_each_event() -> None:
@@ -266,7 +296,8 @@
         c.wait(0.1 if k == 2 else 0.0)
         c.start(f"r{k}")
     assert c.sends(c.arrive("held", 1)) == []  # three run, and the third had to wait
-    assert c.sends(c.end("r0")) == [("held", "w0")]
+    assert c.sends(c.end("r0")) == []  # two ran without waiting, and two run
+    assert c.sends(c.end("r1")) == [("held", "w0")]
 
 
 def test_wave_of_restarts_does_not_starve_the_fleet() -> None:
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -24,6 +24,7 @@
 MOST_STRIKES = 6.0
 FORGIVE = 0.25  # strikes that one served job takes back: a worker that fails one in five stays out
 GROW = 0.25  # slots of room that a served job gives back
+HANDSHAKE = 4.0  # ways until the first job on a new connection has begun
 QUEUE = 3.0  # jobs that all dispatchers together let wait at one worker
 TOLL = 20.0  # a crossing or new connection at a twentieth of a request's worth counts as one slot in use
 SPARE, MOST_SPARE = 0.5, 50.0  # further attempts that one request gives a right to; most that are saved up
@@ -47,6 +48,7 @@
     q: float = 1.0
     strikes: float = 0.0
     room: float = math.inf  # slots of ours that begin there without waiting, as far as seen
+    way: float = math.inf  # least seconds from a send to the news of its start: the network's part in a wait
     rest_until: float = -math.inf
     idle: list[float] = field(default_factory=list)  # since when its open connections have been unused
     cold_next: float = -math.inf  # no send before this while cold
@@ -63,6 +65,7 @@
     verdict: i.Verdict | None = None
     moved: bool = False  # called off, to go elsewhere
     unused: float = 0.0  # seconds for which its connection had been
+    ways: float = 1.0  # of these the network needs until its start is known
     copied: bool = False  # another copy is out, lest this one starts late
 
 
@@ -155,6 +158,8 @@
         worker = _Worker(entry.worker, entry.zone, entry.cell, entry.since, warm_at)
         # Hundreds of us may see it start at once: the first send waits for a random part of the pace.
         worker.cold_next = now + self.random.random() * self._pace(worker, sum(self.run) / len(self.run), now)
+        if worker.zone != self.set.zone:  # its other half is its own zone's: no more than one job until seen
+            worker.room = 1.0
         self.workers[worker.id] = worker
         self.order.append(worker)
         grown = np.zeros((2, len(self.order), len(self.order)))
@@ -221,7 +226,8 @@
     def _free(self, now: float) -> list[_Worker]:
         """Workers that may get something new now, whatever it is."""
         # Work waits here, not at a worker that has not begun our last job: slow, hung, stalled or crowded.
-        ready = [w for w in self.order if w.ready and not w.unstarted and w.load < w.room]
+        # Room counts in whole jobs: a quarter of a slot given back is no room for another.
+        ready = [w for w in self.order if w.ready and not w.unstarted and w.load + 1 <= w.room]
         ready = [w for w in ready if now >= w.warm_at or now >= w.cold_next]
         if all(now < w.rest_until for w in self.order if w.ready):
             return ready  # all look bad: rather our own view is
@@ -254,6 +260,7 @@
         if worker.idle and now - worker.idle[-1] >= self.keep:
             self.todo.append(i.Close(worker.id))
             worker.idle.clear()
+        attempt.ways = 1.0 if worker.idle else HANDSHAKE
         attempt.unused = now - worker.idle.pop() if worker.idle else 0.0
         self.spare -= len(r.attempts) > 0
         self.out[r.id, len(r.attempts)] = attempt
@@ -279,8 +286,9 @@
         if attempt.started is None:
             attempt.started = now
             attempt.worker.unstarted -= 1
-            wait = now - attempt.sent
-            if wait > self.aim / 4:  # full: no more than ran then
+            wait, attempt.worker.way = now - attempt.sent, min(attempt.worker.way, now - attempt.sent)
+            # Full: no more than ran then. Where the way alone takes that long it says nothing of the queue.
+            if wait - attempt.ways * attempt.worker.way > self.aim / 4:
                 attempt.worker.room = max(1.0, attempt.worker.load - attempt.slots)
             # After a wait leave it to the others: when all are full, all of us keep about QUEUE jobs there.
             attempt.worker.crowd_until = now + wait * self.spacing * min(1.0, self.wait / self.aim) ** 2
