A request that a peer calls unusable fails at once and is not held against the peer

Found by reading: PeerConnection._whole told that as ERROR, so each cost its worker a strike and a rest, and one of a class that is safe to repeat went on to up to six workers in turn, each resting for it. Ruled out: leaving it as FULL, which would be sent again.

Now 4xx other than 408 and 429 is a verdict of its own, UNUSABLE: the request fails at once. The first from a worker that has served nothing since the last one is the client's fault; the next is a sick worker's, which answers fast by failing.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -58,6 +58,13 @@
         a expect ^HTTP/1.1 502
         node wait try.error 1
     """,
+    "a request that a peer can't use has failed, and is sent to nobody else": """
+        a send job 1
+        w0 gets 1
+        w0 send status 400
+        a expect ^HTTP/1.1 502
+        node wait try.unusable 1
+    """,
     "a lost job is a reset": """
         a send job 1 once
         w0 gets 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -213,6 +213,19 @@
     assert c.sends(c.arrive("r3", 1)) == []
 
 
+def test_request_that_nobody_can_use_fails_at_once_and_is_not_held_against_its_worker() -> None:
+    """Sent on from worker to worker, one bad client's request would make all of them rest."""
+    c = Caller(site(may_copy=False), entries=FLEET)
+    ((_, name),) = c.sends(c.arrive("bad"))
+    assert i.Fail("bad") in c.end("bad", i.Verdict.UNUSABLE) and c.open() == []
+    worker = c.balancer.workers[name]
+    assert worker.strikes == 0
+    c.tell(FLEET[int(name[1:])], kind=i.ListKind.REPLACE)
+    c.arrive("next")
+    c.end("next", i.Verdict.UNUSABLE)  # none served in between: this one is sick
+    assert worker.strikes == 1
+
+
 def test_worker_that_keeps_us_waiting_is_left_to_the_other_dispatchers_for_a_while() -> None:
     c = Caller(site(dispatchers=12, may_copy=False), entries=FLEET[:1])
     c.balancer.wait = 0.2  # starts are late on the whole
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -50,6 +50,7 @@
     room: float = math.inf  # slots of ours that begin there without waiting, as far as seen
     way: float = math.inf  # least seconds from a send to the news of its start: the network's part in a wait
     rest_until: float = -math.inf
+    turned: bool = False  # it has called a request unusable, and served none since
     idle: list[float] = field(default_factory=list)  # since when its open connections have been unused
     cold_next: float = -math.inf  # no send before this while cold
     crowd_until: float = -math.inf  # others fill it: no send before this
@@ -318,6 +319,7 @@
             w.unstarted -= 1
         if event.verdict is i.Verdict.OK:
             w.idle.append(now)
+            w.turned = False
             w.room += GROW
             w.strikes = max(0.0, w.strikes - FORGIVE)
             self._call_off(r, begun=True)
@@ -325,12 +327,20 @@
                 self.run[r.cls] += 0.05 * (now - attempt.started - self.run[r.cls])
         else:
             self._unbook(attempt)
-            if attempt.moved or event.verdict not in (i.Verdict.MOOT, i.Verdict.CANCELLED):
+            # One request that nobody can use is its client's fault; a worker that calls all so is sick.
+            unusable = event.verdict is i.Verdict.UNUSABLE
+            blameless = (unusable and not w.turned) or event.verdict in (i.Verdict.MOOT, i.Verdict.CANCELLED)
+            w.turned = w.turned or unusable
+            if attempt.moved or not blameless:
                 # Eases off a worker that fails, is full, silent or out of reach; it comes back by trials.
                 w.strikes = min(w.strikes + 1, MOST_STRIKES)
                 w.rest_until = now + REST * 2 ** (w.strikes - 1)
         if r and not event.over and r not in self.held and all(a.verdict is not None for a in r.attempts):
-            self._hold(r, now)
+            if event.verdict is i.Verdict.UNUSABLE:
+                del self.requests[r.id]
+                self.todo.append(i.Fail(r.id))
+            else:
+                self._hold(r, now)
         self._serve(now)
 
     def _answer(self, r: _Request) -> None:
--- a/wickgw/interface.py
+++ b/wickgw/interface.py
@@ -29,6 +29,7 @@
 
     OK = "ok"
     ERROR = "error"  # the worker answered with an error; it may have run
+    UNUSABLE = "unusable"  # the worker says that nobody can use this request; others would say the same
     FULL = "full"  # turned away unseen; it never ran
     TIMEOUT = "timeout"  # no answer in time; it may have run or be running
     CONNECT_FAILED = "connect_failed"  # it never ran
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -270,6 +270,8 @@
             verdict, result = i.Verdict.RESET, b""  # it ended before its last line
         elif self.status.status in (503, 504) and self.status.headers.get("srv-declined") == "1":
             verdict, result = i.Verdict.FULL, b""
+        elif 400 <= self.status.status < 500 and self.status.status not in (408, 429):
+            verdict, result = i.Verdict.UNUSABLE, b""  # the request's fault, not the peer's
         else:
             verdict, result = i.Verdict.ERROR, b""
         try_, self.try_ = self.try_, None
