The command line becomes a package, and the log is structured by structlog

Need: the moving address, routes and what follows bring settings, events and commands of their own; cli.py held configuration, life of the process, logging and commands in one file.

cli.py is split into wickgw/cli (commands), wickgw/node.py (life of the process), wickgw/config/relay.py (RELAY_CONFIG) and wickgw/observe/log.py. Every log line is one event with fields, through structlog into one handler, which keeps the limit of 50 lines a second (and now says how many were left out) and the pipe that nobody reads.

Ruled out: structlog writing past the standard library, since asyncio's own messages would then not be under the limit.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -30,8 +30,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from wickgw.cli import Config, Node
+from wickgw.config.relay import Config
 from wickgw.drill import read_settings
+from wickgw.node import Node
 
 PATIENCE = 10.0
 MS = 1_000_000
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -44,7 +44,9 @@
     try:
         assert process.stderr is not None
         lines = iter(process.stderr.readline, "")
-        where = next(filter(None, (re.search(r"listens at ([0-9.]+):([0-9]+)", line) for line in lines)))
+        where = next(
+            filter(None, (re.search(r"node.listening.* at=([0-9.]+):([0-9]+)", line) for line in lines))
+        )
         with socket.create_connection((where[1], int(where[2])), PATIENCE) as client:
             client.settimeout(PATIENCE)
             yield process, client
@@ -150,7 +152,7 @@
         assert process.stderr is not None
         path.write_text("{")
         process.send_signal(signal.SIGHUP)
-        assert "not JSON" in next(line for line in process.stderr if "stays as it was" in line)
+        assert "not JSON" in next(line for line in process.stderr if "reload.failed" in line)
         path.write_text(json.dumps(GOOD | {"discovery": "{}:{}".format(*moved.getsockname())}))
         process.send_signal(signal.SIGHUP)
         moved.settimeout(PATIENCE)
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -9,20 +9,21 @@
 import asyncio
 import itertools
 import json
-import logging
 import re
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
 from urllib.parse import unquote
 
+import structlog
+
 from wickgw import interface as i
 from wickgw.net import http
 from wickgw.net.dispatch import Answer, AnswerKind, Dispatcher, RequestContext
 from wickgw.net.peers import Job
 from wickgw.net.sockets import Connection, Sockets
 
-log = logging.getLogger("wickgw")
+log = structlog.get_logger("wickgw")
 ALLOWANCE = 0.015  # seconds of a client's time left for its request's way here and the answer's way back
 ACCEPT_AT_ONCE = 32  # connections accepted, and not opened yet, before others get their turn
 ACCEPT_PAUSE = 0.02  # seconds without accepting after it failed, or while all connections are busy
@@ -218,7 +219,7 @@
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
-                log.warning("accept failed: %s", error)
+                log.warning("accept.failed", error=str(error))
                 self.dispatcher.counters["accept_errors"] += 1
                 if not self._make_room() or not last:
                     self._pause()
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -8,18 +8,19 @@
 import asyncio
 import errno
 import json
-import logging
 import random
 import socket
 from collections.abc import Callable
 from typing import Any
 
+import structlog
+
 from wickgw import interface as i
 from wickgw.net import http
 from wickgw.net.dispatch import Clock
 from wickgw.net.sockets import Connection, Sockets, address
 
-log = logging.getLogger("wickgw")
+log = structlog.get_logger("wickgw")
 WAIT = 10.0  # seconds that a watch may stay silent because nothing changes
 LATE = 1.5  # seconds more until silence means that discovery, or the way to it, is down
 FIRST_BACKOFF, MOST_BACKOFF = 0.05, 2.0
@@ -202,7 +203,7 @@
             self.ask_whole = True
             if not whole or self.older < REBUILT:
                 raise ListError(f"version {version} after {self.version}")
-            log.warning("discovery began anew with version %d", version)
+            log.warning("discovery.anew", version=version)
         if not whole and self.version is None:
             raise ListError("changes to a list never given")
         self.failures = self.older = 0
@@ -224,7 +225,7 @@
         self.failures += 1
         most = min(MOST_BACKOFF, FIRST_BACKOFF * 2 ** min(self.failures, 10))
         if self.failures in (1, 10, 100):
-            log.warning("discovery: %s (failure %d)", why, self.failures)
+            log.warning("discovery.failed", why=str(why), failures=self.failures)
         self._wait(random.uniform(most / 2, most), self.open)
 
     def _silent(self) -> None:
--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import itertools
-import logging
 import time
 from collections import Counter, deque
 from collections.abc import Callable
@@ -17,10 +16,12 @@
 from enum import Enum
 from typing import Any, Protocol
 
+import structlog
+
 from wickgw import interface as i
 from wickgw.balance import Balancer
 
-log = logging.getLogger("wickgw")
+log = structlog.get_logger("wickgw")
 GRACE = 0.003  # seconds that the guard leaves to tries that time out at the same moment
 STALL = 0.05  # seconds by which a Wake is late when the loop has stood still; counted, so that it is seen
 
@@ -205,7 +206,7 @@
             actions = self.balancer.handle(event, self.clock.now())
         except Exception:  # one event's loss; what it was about is answered by its guard at the latest
             self.counters["errors"] += 1
-            log.exception("the Balancer failed on %s", type(event).__name__)
+            log.exception("balancer.failed", on=type(event).__name__)
             if isinstance(event, i.Timer):  # a tick that is lost would be the last one
                 self._run(i.Wake(event.name, 0.1))
             return
@@ -214,7 +215,7 @@
                 self._run(action)
             except Exception:
                 self.counters["errors"] += 1
-                log.exception("could not carry out %s", type(action).__name__)
+                log.exception("action.failed", action=type(action).__name__)
 
     def _run(self, action: i.Action) -> None:
         match action:
@@ -243,7 +244,7 @@
             self.peers.start(context, number, worker, until)
         except Exception:  # no end of it may ever come, and the Balancer waits for one: it may have run
             self.counters["errors"] += 1
-            log.exception("a try could not be started")
+            log.exception("try.not-started")
             self.ended(context.id, number, i.Verdict.ERROR)
 
     def _wake(self, serial: int, name: str, due: float) -> None:
@@ -284,7 +285,7 @@
         """The guard. Tries time out at this very moment too: the Balancer is left to hear of them first."""
         if context.client is not None and (again or not context.out):
             self.counters["guarded"] += 1
-            log.error("a request was still unanswered at its deadline")
+            log.error("request.guarded", id=context.id)
             self._answer(context, Answer(AnswerKind.FAILED))
             self._feed(i.ClientLeft(context.id))
         elif context.client is not None:
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -9,17 +9,18 @@
 import asyncio
 import errno
 import json
-import logging
 import socket
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+import structlog
+
 from wickgw import interface as i
 from wickgw.net import http
 from wickgw.net.dispatch import Dispatcher, RequestContext
 from wickgw.net.sockets import Connection, Sockets, address
 
-log = logging.getLogger("wickgw")
+log = structlog.get_logger("wickgw")
 MAX_LINE = http.MAX_BODY + 4096  # a job event: the largest result and what stands around it
 MAX_RESPONSE = 1 << 20  # all lines of one try: hours of progress
 LAST = {"failed": i.Verdict.ERROR, "returned": i.Verdict.FULL, "lost": i.Verdict.RESET}
@@ -116,7 +117,7 @@
             self.sock = sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
             code = sock.connect_ex(address(self.peer.endpoint))
         except (OSError, ValueError) as error:
-            log.warning("no socket for a try: %s", error)
+            log.warning("try.no-socket", error=str(error))
             self._give_up_opening()
             return
         if code not in (0, errno.EINPROGRESS):
@@ -206,7 +207,7 @@
                 else:
                     self._body(part)
         except (http.HttpError, ValueError, RecursionError) as error:  # the last: JSON nested without end
-            log.warning("nonsense from a peer: %s", str(error)[:200])
+            log.warning("peer.nonsense", error=str(error)[:200])
             verdict, result = self.outcome or (i.Verdict.ERROR, b"")
             self._end(verdict, result)
             self.drop()
@@ -311,7 +312,7 @@
             try:
                 self._whole(end.keep)
             except (ValueError, RecursionError) as error:
-                log.warning("nonsense from a peer: %s", str(error)[:200])
+                log.warning("peer.nonsense", error=str(error)[:200])
                 self._end(i.Verdict.ERROR)
         return False
 
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -7,12 +7,13 @@
 """
 
 import asyncio
-import logging
 import resource
 import socket
 from typing import cast
 
-log = logging.getLogger("wickgw")
+import structlog
+
+log = structlog.get_logger("wickgw")
 RESERVE = 24  # descriptors for the listener, discovery, the loop itself, logs and imports
 BASE_MB = 36  # what the process holds without a connection, 28 as measured, and some
 OPENERS = 4  # tasks for each side: opening one takes some turns of the loop, and others wait behind it
@@ -50,7 +51,7 @@
         try:
             self.received(bytes(_SCRATCH[:nbytes]))
         except Exception:
-            log.exception("unexpected error on a connection: it is closed")
+            log.exception("connection.failed")
             self.abort()
 
     def quiet(self) -> bool:
@@ -115,7 +116,7 @@
             try:
                 await self.loop.create_connection(lambda c=connection: c, sock=sock)  # type: ignore[misc]
             except Exception as error:  # out of memory or descriptors: one connection, not the task
-                log.warning("no transport for a socket: %s", error)
+                log.warning("socket.no-transport", error=str(error))
                 sock.close()
                 connection.never_opened()
             finally:
--- /dev/null
+++ b/wickgw/observe/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see: structured logging."""
