Moving service addresses: membership, majority leases, fencing, wire, announcers

Need: when a dispatcher dies its share of clients waits for the front layer to notice. Wanted is an address that moves to a surviving instance, and is never answered on by two.

Client listeners are objects now, and the decision module hears by a new event, Hurry, that a request's time is up sooner.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each a command that writes its figures beside it."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -32,7 +32,7 @@
 
 from wickgw.config.relay import Config
 from wickgw.drill import read_settings
-from wickgw.node import Node
+from wickgw.node import Node, Sources
 
 PATIENCE = 10.0
 MS = 1_000_000
@@ -209,7 +209,7 @@
             environ = {"RELAY_CONFIG": file.name, "RELAY_DISCOVERY": self.address("d")}
 
             async def reload() -> None:
-                self.node.reload(environ)
+                self.node.reload(Sources(environ))
 
             asyncio.run_coroutine_threadsafe(reload(), self.loop).result(PATIENCE)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -40,7 +40,8 @@
         self.done.append(("start", context.id, number, worker))
         self.on_start(context, number)
 
-    def hurry(self, until: float) -> None: ...
+    def hurry(self, until: float, request: str | None = None) -> None:
+        self.done.append(("hurry", request))
 
     def cancel(self, request: str, number: int) -> None:
         self.done.append(("cancel", request, number))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -708,7 +708,8 @@
     real = socket.socket.accept
 
     def accept(listener: socket.socket) -> Any:
-        if listener is scene.node.clients.listener and errors:
+        own = scene.node.clients.listener
+        if own is not None and listener is own.sock and errors:
             raise errors.pop()
         return real(listener)
 
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -449,8 +449,14 @@
             self.todo.append(i.Subscribe())
 
     def _stopping(self, event: i.Stopping, now: float) -> None:
-        """Every client's time is up when this instance ends: held work that can't end by then is answered."""
-        for r in [r for r in self.requests.values() if r.due > now + event.within]:
+        """Every client's time is up when this instance ends."""
+        for name in list(self.requests):
+            self._hurry(i.Hurry(name, event.within), now)
+
+    def _hurry(self, event: i.Hurry, now: float) -> None:
+        """A client's time is up sooner: if it is held, and can't end by then, it is answered."""
+        r = self.requests.get(event.request)
+        if r and r.due > now + event.within:
             r.due = now + event.within
             if r in self.held:
                 self.held.remove(r)
@@ -478,4 +484,5 @@
 
     ON: ClassVar[dict[type, Callable[[Any, Any, float], None]]] = {i.Began: _began, i.WorkerList: _list}
     ON |= {i.Arrival: _arrival, i.ClientLeft: _left, i.Started: _note, i.Progress: _note, i.Timer: _timer}
-    ON |= {i.Outcome: _outcome, i.Stopping: _stopping, i.StreamBegan: _left}  # a begun stream is the client's
+    ON |= {i.Hurry: _hurry, i.Outcome: _outcome, i.Stopping: _stopping}
+    ON |= {i.StreamBegan: _left}  # a begun stream is the client's
--- a/wickgw/cli/__init__.py
+++ b/wickgw/cli/__init__.py
@@ -1,9 +1,12 @@
-"""The command line: a module for each group of commands. Nothing here decides anything: arguments are read, the
-parts are called, and what they say is printed with an exit code (0 done, 1 found wrong, 2 can't be used)."""
+"""The command line: a module for each group of commands.
+
+Nothing here decides anything: arguments are read, the parts are called, and what they say is printed with an
+exit code (0 done, 1 found wrong, 2 can't be used).
+"""
 
 import typer
 
-from wickgw.cli import serve
+from wickgw.cli import address, serve
 
 app = typer.Typer(
     add_completion=False,
@@ -13,3 +16,4 @@
     help="The label job dispatcher of Piedmont Label Works.",
 )
 app.add_typer(serve.app)
+app.add_typer(address.app, name="address")
--- a/wickgw/cli/serve.py
+++ b/wickgw/cli/serve.py
@@ -5,35 +5,40 @@
 
 import asyncio
 import os
+from pathlib import Path
 from typing import Annotated
 
 import typer
 
 from wickgw.cli.common import told_plainly
+from wickgw.config.ini import read_ini
 from wickgw.config.relay import read_config
-from wickgw.node import run
-from wickgw.observe.log import set_up_log
+from wickgw.node import Sources, configure_log, run
 from wickgw.version import VERSION
 
 app = typer.Typer()
+INI = typer.Option(
+    "--ini", envvar="WICKGW_INI", help="The operator's own file; deploy/wickgw.ini if it is there."
+)
 
 
 @app.command()
 def serve(
     verbose: Annotated[bool, typer.Option("--verbose", "-v", help="Log more.")] = False,
+    ini: Annotated[Path | None, INI] = None,
 ) -> None:
     """Serve as one dispatcher, configured by RELAY_CONFIG, until SIGTERM; SIGHUP reads it again."""
     with told_plainly():
-        config = read_config(os.environ)
-        set_up_log(verbose)
-        asyncio.run(run(config))
+        config, operator = read_config(os.environ), read_ini(ini)
+        configure_log(operator, verbose)
+        asyncio.run(run(config, operator, Sources(os.environ, ini, verbose)))
 
 
 @app.command()
-def check() -> None:
+def check(ini: Annotated[Path | None, INI] = None) -> None:
     """Read the configuration as `serve` would and say what it holds."""
     with told_plainly():
-        config = read_config(os.environ)
+        config, operator = read_config(os.environ), read_ini(ini)
     s = config.settings
     print(f"name       {config.name}")
     print(f"listen     {config.listen[0]}:{config.listen[1]}")
@@ -41,6 +46,11 @@
     print(f"zone       {s.zones[s.zone] if s.zone < len(s.zones) else s.zone}")
     for c in s.classes:
         print(f"class      {c.name}: aim {c.aim:g} s, deadline {c.deadline:g} s, {c.effect.value}")
+    if operator is not None:
+        print(f"log        {operator.log.format}")
+    if operator is not None and operator.address is not None and operator.address.enabled:
+        for name, service in operator.address.services.items():
+            print(f"address    {name} at {service.at}, preferred by {' '.join(service.prefer) or 'nobody'}")
 
 
 @app.command()
--- a/wickgw/config/__init__.py
+++ b/wickgw/config/__init__.py
@@ -1,1 +1,1 @@
-"""What a dispatcher is told: the platform's configuration (`relay`) and the operator's own file (`ini`, `schema`)."""
+"""What a dispatcher is told: by the platform (`relay`) and by its operator (`ini`, `schema`)."""
--- a/wickgw/interface.py
+++ b/wickgw/interface.py
@@ -180,6 +180,14 @@
     over: bool = False  # the request has had its final answer
 
 
+@dataclass(frozen=True, slots=True)
+class Hurry:
+    """A request's client gets no answer after so many seconds, though it said that it would wait longer."""
+
+    request: str
+    within: float
+
+
 @dataclass(frozen=True, slots=True)
 class Stopping:
     """The instance ends in so many seconds, and no client gets an answer after that."""
@@ -195,7 +203,17 @@
 
 
 Event = (
-    Began | WorkerList | Arrival | ClientLeft | Started | Progress | StreamBegan | Outcome | Timer | Stopping
+    Began
+    | WorkerList
+    | Arrival
+    | ClientLeft
+    | Started
+    | Progress
+    | StreamBegan
+    | Outcome
+    | Timer
+    | Stopping
+    | Hurry
 )
 
 
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -7,12 +7,15 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import json
 import re
 import socket
+import struct
 from collections import OrderedDict
 from collections.abc import Callable
+from typing import Protocol
 from urllib.parse import unquote
 
 import structlog
@@ -32,6 +35,7 @@
 PATIENCE = 2.0  # seconds that a request may take to come in, and a connection without a job may be silent
 LINGER = 2.0  # seconds for a client to read its last answer before the connection is dropped
 UNREAD = 15.0  # the same while some of the answer is still here
+WHOLE_ANSWER = 256 * 1024  # bytes: the largest answer, its head, and as much again for the kernel
 LOOKS = 16  # connections looked at to make room for one
 ID = re.compile(r"[0-9A-Za-z._-]{1,64}")
 MS = re.compile(r"[0-9]{1,9}")
@@ -41,11 +45,24 @@
 JSON = {"Content-Type": "application/json"}
 
 
+class Gate(Protocol):
+    """The look before every step on an address that may be another instance's by now."""
+
+    def may_take(self) -> bool:
+        """Whether a connection may be accepted, a request be taken."""
+
+    def may_answer(self) -> bool:
+        """Whether anything may be written."""
+
+    def time_left(self) -> float:
+        """Seconds that a request taken now may take."""
+
+
 class ClientConnection(Connection):
     """One client connection: reads a request, waits for its answer, writes it, reads the next."""
 
-    def __init__(self, clients: "Clients") -> None:
-        self.clients = clients
+    def __init__(self, clients: "Clients", gate: Gate | None = None) -> None:
+        self.clients, self.gate = clients, gate
         self.parser = http.RequestParser()
         self.context: RequestContext | None = None  # the request that waits for its answer
         self.keep = True  # as the request in hand wants it
@@ -95,7 +112,8 @@
             while self.context is None and not self.ending:
                 request = self.parser.next()
                 if request is None:
-                    if self.parser.wants_continue() and self.transport is not None:
+                    free = self.gate is None or self.gate.may_take()
+                    if free and self.parser.wants_continue() and self.transport is not None:
                         self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                     break
                 self.keep = request.keep
@@ -116,6 +134,11 @@
         if self.transport is None or self.transport.is_closing():
             return
         keep = self.keep and not self.clients.draining
+        if self.gate is not None:
+            if not self.gate.may_answer():  # the address is another's by now: so is its client
+                self.fence()
+                return
+            keep = keep and self.gate.may_take()
         self.transport.write(http.response(status, body, fields, keep))
         self.since, self.fresh = self.clients.loop.time(), False
         if not keep:
@@ -130,6 +153,15 @@
                 self.transport.resume_reading()
             self.transport.write_eof()
 
+    def fence(self) -> None:
+        """End it without a word: whatever it could still say is no longer ours to say."""
+        self.clients.dispatcher.counters["fenced"] += 1
+        self.ending = self.discarding = True
+        if self.sock is not None:
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.abort()
+
     def taken(self, context: RequestContext) -> None:
         """A request of this connection waits for its answer."""
         self.context, self.known = context, True
@@ -165,6 +197,89 @@
             self.clients.dispatcher.left(context)
 
 
+class Listener:
+    """A listening socket, open until it is closed. Neither an error nor a lack of descriptors ends it."""
+
+    def __init__(self, clients: "Clients", where: tuple[str, int], gate: Gate | None = None) -> None:
+        self.clients, self.gate = clients, gate
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._resume: asyncio.TimerHandle | None = None  # while not accepting
+        self.closed = False
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if gate is not None:
+                # The socket of a holder that stands still must not keep its successor from the address.
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            self.sock.bind(where)
+            self.sock.listen(1024)
+        except OSError:
+            self.sock.close()
+            raise
+        self.where: tuple[str, int] = self.sock.getsockname()
+        clients.loop.add_reader(self.sock.fileno(), self._accept)
+
+    def _accept(self, last: bool = False) -> None:
+        """Accept what waits; at the last time all of it, since closing the listener would reset the rest."""
+        clients = self.clients
+        while last or clients.sockets.opening < ACCEPT_AT_ONCE:
+            if (
+                len(clients.connections) >= clients.sockets.for_clients
+                and not clients.make_room()
+                and not last
+            ):
+                self._pause()
+                return
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                log.warning("accept.failed", error=str(error))
+                clients.dispatcher.counters["accept_errors"] += 1
+                if not clients.make_room() or not last:
+                    self._pause()
+                    return
+                continue
+            if self.gate is not None:
+                if not self.gate.may_take():
+                    clients.dispatcher.counters["fenced.connections"] += 1
+                    reset(sock)
+                    continue
+                # An answer fits whole into the system's buffer: none is left here to be written later.
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, WHOLE_ANSWER)
+            sock.setblocking(False)
+            clients.accepted(sock, self.gate)
+
+    def _pause(self) -> None:
+        if not self.closed:
+            self.clients.loop.remove_reader(self.sock.fileno())
+            self._resume = self.clients.loop.call_later(ACCEPT_PAUSE, self._accept_again)
+
+    def _accept_again(self) -> None:
+        self._resume = None
+        self.clients.loop.add_reader(self.sock.fileno(), self._accept)
+        self._accept()
+
+    def close(self, last: bool = True) -> None:
+        """Take what has connected already, unless it may not be, then accept no more."""
+        if self.closed:
+            return
+        if last:
+            self._accept(last=True)
+        self.closed = True
+        if self._resume is not None:
+            self._resume.cancel()
+        self.clients.loop.remove_reader(self.sock.fileno())
+        self.sock.close()
+
+
+def reset(sock: socket.socket) -> None:
+    """Close with a reset: nobody is left to believe that it is still answered on."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
 class Clients:
     """The listener and all client connections."""
 
@@ -185,65 +300,18 @@
         self.ready = False  # a list is held
         self.leaving = False  # the process is about to end: clients should go elsewhere
         self.draining = False  # and takes nothing more: every answer is its connection's last
-        self.listener: socket.socket | None = None
-        self._resume: asyncio.TimerHandle | None = None  # while not accepting
+        self.listener: Listener | None = None
+        self.address_status: Callable[[], dict[str, object]] | None = None  # if addresses move here
         self._sweeper = loop.call_later(SWEEP, self._sweep)
 
     # Listening.
 
     def listen(self, where: tuple[str, int]) -> tuple[str, int]:
         """Begin to accept; returns the address, as port 0 leaves the choice to the system."""
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            self.listener.bind(where)
-            self.listener.listen(1024)
-        except OSError:
-            self.listener.close()
-            self.listener = None
-            raise
-        self.loop.add_reader(self.listener.fileno(), self._accept)
-        host, port = self.listener.getsockname()
-        return host, port
-
-    def _accept(self, last: bool = False) -> None:
-        """Accept what waits; at the last time all of it, since closing the listener would reset the rest.
-        Neither an error nor a lack of descriptors ends the listening."""
-        assert self.listener is not None
-        while last or self.sockets.opening < ACCEPT_AT_ONCE:
-            if len(self.connections) >= self.sockets.for_clients and not self._make_room() and not last:
-                self._pause()
-                return
-            try:
-                sock, _ = self.listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as error:
-                log.warning("accept.failed", error=str(error))
-                self.dispatcher.counters["accept_errors"] += 1
-                if not self._make_room() or not last:
-                    self._pause()
-                    return
-                continue
-            sock.setblocking(False)
-            connection = ClientConnection(self)
-            self.connections.add(connection)
-            self.waits(connection)  # not at rest until it is opened, so it is not closed unseen
-            self.dispatcher.counters["connections"] += 1
-            self.sockets.adopt(sock, connection, accepted=True)
+        self.listener = Listener(self, where)
+        return self.listener.where
 
-    def _pause(self) -> None:
-        if self.listener is not None:
-            self.loop.remove_reader(self.listener.fileno())
-            self._resume = self.loop.call_later(ACCEPT_PAUSE, self._accept_again)
-
-    def _accept_again(self) -> None:
-        self._resume = None
-        if self.listener is not None:
-            self.loop.add_reader(self.listener.fileno(), self._accept)
-            self._accept()
-
-    def _make_room(self) -> bool:
+    def make_room(self) -> bool:
         """Close a connection that owes nothing. A client between requests opens another, so it is asked last:
         hundreds that say nothing must not close it out. One whose request lies unread is not closed."""
         first = next((idle for idle in self.idle if idle), self.idle[0])
@@ -258,6 +326,14 @@
         self._drop(connection)
         return True
 
+    def accepted(self, sock: socket.socket, gate: Gate | None) -> None:
+        """A client has connected."""
+        connection = ClientConnection(self, gate)
+        self.connections.add(connection)
+        self.waits(connection)  # not at rest until it is opened, so it is not closed unseen
+        self.dispatcher.counters["connections"] += 1
+        self.sockets.adopt(sock, connection, accepted=True)
+
     def _drop(self, connection: ClientConnection) -> None:
         self.forget(connection)
         connection.ending = connection.discarding = True
@@ -302,7 +378,10 @@
 
     def route(self, connection: ClientConnection, request: http.Request) -> None:
         """What a request asks for."""
-        path = request.path
+        path, gate = request.path, connection.gate
+        if gate is not None and not gate.may_take():
+            connection.fence()
+            return
         if path.startswith("/-/"):
             self._operator(connection, request.method, path)
             return
@@ -323,7 +402,8 @@
             connection.reject(400, "Req-Extra is malformed")
         else:
             # No client waits longer than its class allows, whatever it says: 11 days would be owed an answer.
-            due = self.loop.time() + min(int(wait) / 1000, longest) - ALLOWANCE
+            patience = min(int(wait) / 1000, longest) - ALLOWANCE
+            due = self.loop.time() + (patience if gate is None else min(patience, gate.time_left()))
             job = Job(request.method, request.target, request.body)
             context = RequestContext(name, cls, due, job, connection, slots)
             connection.taken(context)
@@ -333,17 +413,47 @@
                 connection.reject(409, "Req-Id is in use")
 
     def _operator(self, connection: ClientConnection, method: str, path: str) -> None:
-        if path not in ("/-/ready", "/-/healthy", "/-/counters"):
+        if path not in ("/-/ready", "/-/healthy", "/-/counters", "/-/address"):
             connection.reject(404, "no such page")
         elif method != "GET":
             connection.reject(405, "only GET here", {"Allow": "GET"})
         elif path == "/-/counters":
             connection.write(200, (json.dumps(self.report(), sort_keys=True) + "\n").encode(), JSON)
+        elif path == "/-/address":
+            if self.address_status is None:
+                connection.reject(404, "no service addresses are set up here")
+            else:
+                connection.write(200, (json.dumps(self.address_status()) + "\n").encode(), JSON)
         elif path == "/-/ready" and (self.leaving or not self.ready):
             connection.write(503, b"draining\n" if self.leaving else b"no list yet\n", TEXT)
         else:
             connection.write(200, b"ok\n", TEXT)
 
+    # Connections that came by an address that moves.
+
+    def through(self, gate: Gate) -> list[ClientConnection]:
+        """All that came through a gate."""
+        return [c for c in self.connections if c.gate is gate]
+
+    def settle(self, gate: Gate) -> bool:
+        """Close those that owe nothing and have sent nothing; whether no request can be taken on any more."""
+        waiting = [c for c in self.through(gate) if c.context is None and not c.ending]
+        for connection in waiting:
+            if connection.at_rest:
+                self._drop(connection)
+        return all(c.ending for c in waiting)
+
+    def hurry(self, gate: Gate, within: float) -> None:
+        """Whatever was taken through a gate is answered within so many seconds."""
+        for connection in self.through(gate):
+            if connection.context is not None:
+                self.dispatcher.hurry(connection.context, self.loop.time() + within)
+
+    def cut(self, gate: Gate) -> None:
+        """End all that came through a gate; requests in hand are over, and the decisions hear of it."""
+        for connection in self.through(gate):
+            connection.fence()
+
     # Ending.
 
     def leave(self) -> None:
@@ -358,10 +468,6 @@
     def stop_listening(self) -> None:
         """Take what has connected already, then accept no more."""
         if self.listener is not None:
-            self._accept(last=True)
-            if self._resume is not None:
-                self._resume.cancel()
-            self.loop.remove_reader(self.listener.fileno())
             self.listener.close()
             self.listener = None
 
--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import functools
 import itertools
 import time
 from collections import Counter, deque
@@ -33,6 +34,8 @@
     def __init__(self) -> None:
         self.now: Callable[[], float] = time.monotonic
         self.offset = time.time() - time.monotonic()
+        # Leases are counted on a clock that goes on while the machine sleeps.
+        self.awake: Callable[[], float] = functools.partial(time.clock_gettime, time.CLOCK_BOOTTIME)
 
     def at_unix_ms(self, ms: float) -> float | None:
         """A moment given in Unix milliseconds; 0 means long ago."""
@@ -69,8 +72,8 @@
     def start(self, context: "RequestContext", number: int, worker: str, until: float) -> None:
         """Start a try; its end is reported by `Dispatcher.ended`, exactly once."""
 
-    def hurry(self, until: float) -> None:
-        """No try is waited for any longer than that."""
+    def hurry(self, until: float, request: str | None = None) -> None:
+        """No try (of that request) is waited for any longer than that."""
 
     def cancel(self, request: str, number: int) -> None:
         """Give a try up, if it is still out."""
@@ -180,6 +183,16 @@
         self.peers.hurry(self.stop_by)
         self._feed(i.Stopping(within))
 
+    def hurry(self, context: RequestContext, due: float) -> None:
+        """What this request is owed must be out by then, whatever its client has said."""
+        if context.client is None or context.due <= due:
+            return
+        self.counters["hurried"] += 1
+        context.due = due
+        self._guard(context)
+        self.peers.hurry(due, context.id)
+        self._feed(i.Hurry(context.id, max(0.0, due - self.clock.now())))
+
     def close(self) -> None:
         """Give back every timer."""
         for handle in [*self._wakes.values(), *(c.guard for c in self.contexts.values() if c.guard)]:
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -382,10 +382,11 @@
         self.connections.add(connection)
         connection.open()
 
-    def hurry(self, until: float) -> None:
-        """No try is waited for any longer than that."""
+    def hurry(self, until: float, request: str | None = None) -> None:
+        """No try (of that request) is waited for any longer than that."""
         for try_ in self.tries.values():
-            try_.hurry(until)
+            if request is None or try_.context.id == request:
+                try_.hurry(until)
 
     def cancel(self, request: str, number: int) -> None:
         """Give a try up."""
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -8,21 +8,28 @@
 import contextlib
 import gc
 import json
-import os
 import signal
 from collections.abc import Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import TYPE_CHECKING
 
 import structlog
 
 from wickgw import interface as i
 from wickgw.balance import Balancer
+from wickgw.config.ini import read_ini
 from wickgw.config.relay import Config, ConfigError, read_config
 from wickgw.net.clients import Clients
 from wickgw.net.discovery import Discovery, ListError, ListReader, Target
 from wickgw.net.dispatch import Clock, Dispatcher
 from wickgw.net.peers import Peers
 from wickgw.net.sockets import Sockets
+from wickgw.observe.log import set_up_log
+
+if TYPE_CHECKING:
+    from wickgw.address.driver import Driver
+    from wickgw.config.schema import Operator
 
 log = structlog.get_logger("wickgw")
 ACCEPT_ON = 0.6  # seconds after SIGTERM in which clients may still come: 0.4 announced, and some
@@ -32,11 +39,22 @@
 LONGEST, SPARE = 3.0, 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class Sources:
+    """Where a node's settings were read, so that they can be read again."""
+
+    environ: Mapping[str, str]
+    ini: Path | None = None
+    verbose: bool = False
+
+
 class Node:
     """One dispatcher: its parts, put together on a loop."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
-        self.config, self.loop, clock = config, loop, Clock()
+    def __init__(
+        self, config: Config, loop: asyncio.AbstractEventLoop, operator: "Operator | None" = None
+    ) -> None:
+        self.config, self.loop, self.operator, clock = config, loop, operator, Clock()
         self.sockets = Sockets(loop, config.descriptors, config.memory_mb)
         self.peers = Peers(loop, self.sockets, config.settings.connect_timeout, config.settings.idle_close)
         balancer = Balancer(config.settings, config.seed)
@@ -44,9 +62,28 @@
         self.clients = Clients(loop, self.sockets, self.dispatcher, config.settings, self.report)
         reader = ListReader(clock, config.settings.zones)
         self.discovery = Discovery(loop, self.sockets, config.discovery, reader, self._told)
+        self.address = self._address(clock)
         self.finished: asyncio.Future[None] = loop.create_future()
         self._begin(reader)
 
+    def _address(self, clock: Clock) -> "Driver | None":
+        """Moving service addresses, if the operator's file turns them on. Raises ConfigError."""
+        settings = self.operator.address if self.operator else None
+        if settings is None or not settings.enabled:
+            return None
+        from wickgw.address.driver import Driver
+
+        me = settings.instance or self.config.name
+        if me not in settings.members:
+            allowed = ", ".join(settings.members)
+            raise ConfigError(f"[address] instance: {me!r} read; one of the members {allowed} is allowed")
+        driver = Driver(settings, me, clock, self.loop, self.clients, self._able)
+        self.clients.address_status = driver.status
+        return driver
+
+    def _able(self) -> bool:
+        return self.clients.ready and not self.clients.leaving
+
     def _begin(self, reader: ListReader) -> None:
         known: list[Target] = []
         if self.config.known is not None:
@@ -63,6 +100,8 @@
         """Listen, and ask for the list; returns the address listened at."""
         where = self.clients.listen(self.config.listen)
         self.discovery.open()
+        if self.address is not None:
+            self.address.start()
         return where
 
     def _told(self, kind: i.ListKind, targets: list[Target]) -> None:
@@ -107,22 +146,37 @@
         self.dispatcher.counters["reloads"] += 1
         log.info("reload.done", discovery=new.discovery)
 
-    def reload(self, environ: Mapping[str, str]) -> None:
+    def reload(self, sources: Sources) -> None:
         """SIGHUP: read the configuration again. One that can't be used changes nothing."""
         try:
-            new = read_config(environ)
+            new = read_config(sources.environ)
+            operator = read_ini(sources.ini)
+            self._switch_operator(operator, sources.verbose)
         except ConfigError as error:
             self.dispatcher.counters["reloads.failed"] += 1
             log.error("reload.failed", error=str(error))
             return
         self.switch(new)
 
+    def _switch_operator(self, new: "Operator | None", verbose: bool) -> None:
+        """Take what can be taken of the operator's file, and say what can't. Raises ConfigError."""
+        old, address = self.operator, new.address if new else None
+        if self.address is not None and address is not None and address.enabled:
+            self.address.reload(address)
+        elif (self.address is not None) != (address is not None and address.enabled):
+            log.warning("reload.partly", not_taken="[address] enabled", until="the next start")
+        self.operator = new
+        if (new.log if new else None) != (old.log if old else None):
+            configure_log(new, verbose)
+
     def drain(self) -> None:
         """Begin to end: clients are served on for a while, then what was taken is answered."""
         if self.clients.leaving:
             return
         log.info("node.draining")
         self.clients.leave()
+        if self.address is not None:
+            self.address.resign()
         within = min(LONGEST, max(c.deadline for c in self.config.settings.classes)) + SPARE
         self.dispatcher.stop(within)
         # An answer that its client does not read must not keep the process until it is killed.
@@ -136,6 +190,9 @@
         if self.clients.connections and self.loop.time() < turn:
             self.loop.call_later(SETTLE, self._wind_down, turn)
             return
+        if self.address is not None and self.address.busy and self.loop.time() < turn:
+            self.loop.call_later(SETTLE, self._wind_down, turn)
+            return
         self.clients.drain()
         self.loop.call_later(SETTLE, self._quiet)  # what was accepted last may still be about to be read
 
@@ -154,6 +211,8 @@
 
     def close(self) -> None:
         """Give everything back."""
+        if self.address is not None:
+            self.address.close()
         self.discovery.close()
         self.clients.close()
         self.dispatcher.close()
@@ -161,16 +220,27 @@
         self.sockets.close()
 
 
-async def run(config: Config) -> None:
+def configure_log(operator: "Operator | None", verbose: bool) -> None:
+    """The log as the operator's file wants it."""
+    if operator is None:
+        set_up_log(verbose)
+    else:
+        set_up_log(verbose, operator.log.format, operator.log.lines_per_second)
+
+
+async def run(config: Config, operator: "Operator | None", sources: Sources) -> None:
     """Serve until told to end."""
     loop = asyncio.get_running_loop()
-    node = Node(config, loop)
+    node = Node(config, loop, operator)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.drain)
-    loop.add_signal_handler(signal.SIGHUP, node.reload, os.environ)  # unhandled, it would end the process
+    loop.add_signal_handler(signal.SIGHUP, node.reload, sources)  # unhandled, it would end the process
     loop.add_signal_handler(signal.SIGUSR1, _print_report, node)
     try:
         host, port = node.start()
+    except ConfigError:
+        node.close()
+        raise
     except OSError as error:
         node.close()
         raise ConfigError(
