--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,21 @@
+"""The pages of operators name what the program says: log events are held against the code."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+EVENT = re.compile(r"""(?:_note\(|\blog\.\w+\()\s*f?"([a-z]+\.[a-z{][^"\s]*)\"""")
+
+
+@pytest.mark.parametrize("package, page", [("address", "moving-address")])
+def test_each_log_event_of_a_subsystem_is_on_its_page(package: str, page: str) -> None:
+    code = "".join(path.read_text() for path in (ROOT / "wickgw" / package).glob("*.py"))
+    said = set(EVENT.findall(code.replace("structlog.get_logger", ""))) - {"member.{change.new.name.lower()}"}
+    said |= {"member.alive", "member.suspected", "member.dead"} if package == "address" else set()
+    text = (ROOT / "docs" / "operators" / f"{page}.md").read_text()
+    table = text.partition("## Log events")[2].partition("\n## ")[0]
+    rows = [line.split("|")[1] for line in table.splitlines() if line.startswith("| `")]
+    told = {event for row in rows for event in re.findall(r"`([^`]+)`", row)}
+    assert said == told, said ^ told
--- a/wickgw/address/driver.py
+++ b/wickgw/address/driver.py
@@ -9,7 +9,7 @@
 import contextlib
 import socket
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import structlog
@@ -31,7 +31,6 @@
 AT_ONCE = 64  # datagrams read before others get their turn
 SETTLE = 0.05  # seconds that a planned move may wait for requests that are just coming in
 LOOK = 0.002  # seconds between looks at that
-UNANSWERED = 0.25  # seconds between looks at whether a client has read its last answer, before a move
 
 
 @dataclass(eq=False)
@@ -45,7 +44,6 @@
     listener: Listener | None = None
     leaving: bool = False  # the gate may not be opened any further
     last: asyncio.Task[None] | None = None  # the end of the chain of announcer runs
-    finishing: list[Gate] = field(default_factory=list)
 
 
 class Driver:
