--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,4 +1,4 @@
-"""The log: one event a line in either form, so many a second, and a reader that does not read stops nobody."""
+"""The log: one event a line in either form, so many a second, and nobody waits for a reader."""
 
 import json
 import subprocess
