Routes and pools, and expectations about them decided without traffic

Need: when routing is edited for January, mistakes are learned from angry shops.

Serving: a decision module, list and counters for each pool, spelling by RFC 3986, reloads that leave requests in hand to their table. wickgw route check, explain, diff.

--- /dev/null
+++ b/tests/test_pools.py
@@ -0,0 +1,203 @@
+"""Routes in service, on real sockets: agreement with the checker, pools apart, drains, reloads, spelling."""
+
+import random
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from routes import ZONES, Serving
+from scenario import PATIENCE
+
+from wickgw.config.routes import read_plan
+from wickgw.routing import normal
+from wickgw.routing.match import Request
+
+POOLS = "[pool:east]\nzone = east\n[pool:west]\nzone = west\n"
+PLAIN = POOLS + "[route:look]\nclass = look\npools = east west\n[route:once]\nclass = once\npools = west\n"
+
+
+@pytest.fixture
+def serving(tmp_path: Path) -> Iterator[Serving]:
+    serving = Serving(tmp_path, PLAIN)
+    yield serving
+    serving.close()
+
+
+def test_checker_and_dispatcher_agree_on_random_tables(tmp_path: Path) -> None:
+    """The table that the checker asks, read from the file, and the process that serves from that file."""
+    rng = random.Random(8)
+    hosts = ("a.example.org", "b.example.org", "*.example.org")
+    paths = (
+        "path = /look/a",
+        "path_prefix = /look",
+        "path_pattern = /look/[0-9]+",
+        "class = look once",
+        "path = /once/",
+    )
+    serving = Serving(tmp_path, PLAIN)
+    try:
+        for _ in range(20):
+            text = POOLS
+            for k in range(4):
+                text += f"[route:r{k}]\n{rng.choice(paths)}\npools = {rng.choice(ZONES)}\npriority = {k}\n"
+                text += f"host = {rng.choice(hosts)}\n" if rng.random() < 0.6 else ""
+                text += f"zone = {rng.choice(ZONES)}\n" if rng.random() < 0.3 else ""
+                text += "header.X-Shop = present\n" if rng.random() < 0.3 else ""
+            serving.reload(text)
+            table = read_plan(serving.ini).table
+            for _ in range(12):
+                host = rng.choice(("a.example.org", "B.Example.org:80", "c.example.org", "other.org"))
+                path = rng.choice(
+                    ("/look/a", "/look/7", "/look//7", "/%6cook/x", "/x/../look", "/once/", "/once")
+                )
+                zone = rng.choice((*ZONES, "nowhere"))
+                fields = {"Client_Zone": zone} | ({"X_Shop": "7"} if rng.random() < 0.5 else {})
+                headers = {"x-shop": "7"} if "X_Shop" in fields else {}
+                asked = Request(
+                    normal.host(host), normal.path(path), "POST", zone if zone in ZONES else "east", headers
+                )
+                route = table.take(asked).route
+                status, worker = serving.ask(path, host, **fields)
+                if route is None:
+                    assert status == 404 and not worker, (text, asked)
+                else:
+                    assert status == 200 and worker[0] == route.pools[0][0], (text, asked, worker)
+    finally:
+        serving.close()
+
+
+def test_no_route_is_404_and_counted_and_a_stray_percent_is_400(serving: Serving) -> None:
+    assert serving.ask("/other")[0] == 404
+    assert serving.ask("/look/%zz")[0] == 400
+    counters = serving.report()["counters"]
+    assert counters["routes.none"] == 1 and counters["rejected.400"] == 1  # type: ignore[index]
+
+
+def test_route_is_not_dodged_by_spelling_and_what_came_is_passed_on(tmp_path: Path) -> None:
+    text = (
+        POOLS
+        + "[route:all]\npath_prefix = /\npools = west\n[route:look]\npath_prefix = /look/x\npools = east\n"
+    )
+    serving = Serving(tmp_path, text)
+    try:
+        for path in ("/look/x", "//look/x", "/look/./x", "/a/../look/x", "/%6cook/%78", "/look/x/"):
+            status, worker = serving.ask(path)
+            assert status == 200 and worker.startswith("e"), path
+    finally:
+        serving.close()
+
+
+def test_drained_pool_hands_on_at_once_and_comes_back(serving: Serving) -> None:
+    assert serving.ask("/look")[1].startswith("e")
+    serving.tell(e1="draining", e2="draining")
+    assert {serving.ask("/look")[1][0] for _ in range(6)} == {"w"}
+    serving.tell()
+    assert serving.ask("/look")[1].startswith("e")
+
+
+def test_every_pool_out_is_refused_by_the_module_with_when_to_come_back(serving: Serving) -> None:
+    serving.tell(w1="gone", w2="gone", e1="gone", e2="gone")
+    status, worker = serving.ask("/once", **{"Req_Deadline_Ms": "300"})
+    assert (status, worker) == (503, "")
+    report = serving.report()
+    assert report["counters"]["routes.out"] == 1  # type: ignore[index]
+    assert report["pools"]["west"]["counters"]["answer.refused"] == 1  # type: ignore[index]
+
+
+def test_same_worker_in_two_pools_is_counted_apart(tmp_path: Path) -> None:
+    text = "[pool:one]\nname = e1\n[pool:both]\nname = e1 w?\n[route:once]\nclass = once\npools = one\n"
+    text += "[route:look]\nclass = look\npools = both\n"
+    serving = Serving(tmp_path, text)
+    try:
+        for _ in range(4):
+            assert serving.ask("/once") == (200, "e1") and serving.ask("/look")[1] in ("e1", "w1", "w2")
+        pools = serving.report()["pools"]
+        assert pools["one"]["now"]["ready"] == 1 and pools["both"]["now"]["ready"] == 3  # type: ignore[index]
+        assert pools["one"]["counters"]["taken"] == pools["both"]["counters"]["taken"] == 4  # type: ignore[index]
+        serving.tell(e1="draining")
+        pools = serving.report()["pools"]
+        assert pools["one"]["now"] | {"ready": 0, "draining": 1} == pools["one"]["now"]  # type: ignore[index]
+        assert pools["both"]["now"]["ready"] == 2  # type: ignore[index]
+        assert serving.ask("/look")[1] in ("w1", "w2")
+    finally:
+        serving.close()
+
+
+def test_model_and_group_choose(tmp_path: Path) -> None:
+    serving = Serving(tmp_path, "[pool:m]\nmodel = model-w2\n[route:r]\nclass = look once\npools = m\n")
+    try:
+        assert {serving.ask("/look")[1] for _ in range(4)} == {"w2"}
+    finally:
+        serving.close()
+
+
+def in_hand(serving: Serving) -> tuple[threading.Thread, list[tuple[int, str]]]:
+    """A request that a worker is at; its answer once the thread has ended."""
+    answers: list[tuple[int, str]] = []
+    thread = threading.Thread(target=lambda: answers.append(serving.ask("/look")), daemon=True)
+    thread.start()
+    end = time.monotonic() + PATIENCE
+    while not any(worker.runs for worker in serving.workers.values()):
+        assert time.monotonic() < end
+    return thread, answers
+
+
+def test_reload_that_empties_a_pool_leaves_requests_in_hand_to_their_table(tmp_path: Path) -> None:
+    serving = Serving(tmp_path, PLAIN, seconds=0.4)
+    try:
+        thread, answers = in_hand(serving)
+        serving.reload(PLAIN.replace("zone = east\n", "zone = nowhere\n", 1))
+        assert serving.report()["now"]["pools_retired"] == 1  # type: ignore[index]
+        thread.join(PATIENCE)
+        assert answers[0][0] == 200 and answers[0][1].startswith("e")
+        assert serving.ask("/look")[1].startswith("w"), "the emptied pool is out"
+        end = time.monotonic() + PATIENCE
+        while serving.report()["now"]["pools_retired"]:  # type: ignore[index]
+            assert time.monotonic() < end
+        assert serving.report()["counters"]["pools.ended"] == 1  # type: ignore[index]
+    finally:
+        serving.close()
+
+
+def test_reload_keeps_what_an_unchanged_pool_has_learned_and_a_bad_file_changes_nothing(
+    serving: Serving,
+) -> None:
+    serving.ask("/look")
+    before = serving.node.pools.servers["east"]
+    serving.reload(PLAIN.replace("class = once\npools = west", "class = once\npools = east"))
+    assert serving.node.pools.servers["east"] is before and serving.ask("/once")[1].startswith("e")
+    serving.reload(PLAIN.replace("pools = west", "pools = north"))
+    assert serving.report()["counters"]["reloads.failed"] == 1  # type: ignore[index]
+    assert serving.ask("/once")[1].startswith("e")
+
+
+def test_attempts_and_time_of_a_route_are_never_more_and_may_be_less(tmp_path: Path) -> None:
+    text = PLAIN.replace("class = look\n", "class = look\nattempts = 1\ntime_limit_ms = 150\n")
+    serving = Serving(tmp_path, text, seconds=5.0)
+    try:
+        start = time.monotonic()
+        status, _ = serving.ask("/look")
+        assert status in (502, 503) and time.monotonic() - start < 1.0
+        tries = [worker.runs for worker in serving.workers.values()]
+        assert sum(sum(runs.values()) for runs in tries) == 1
+    finally:
+        serving.close()
+
+
+def test_id_in_use_in_one_pool_is_in_use_in_all(tmp_path: Path) -> None:
+    serving = Serving(tmp_path, PLAIN, seconds=0.3)
+    try:
+        thread, answers = in_hand(serving)
+        other = Serving.__new__(Serving)
+        import http.client
+
+        other.connection = http.client.HTTPConnection(*serving.where, timeout=PATIENCE)
+        other.connection.request("POST", "/once", headers={"Req-Id": "q0", "Req-Deadline-Ms": "900"})
+        assert other.connection.getresponse().status == 409
+        other.connection.close()
+        thread.join(PATIENCE)
+        assert answers[0][0] == 200
+    finally:
+        serving.close()
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -79,6 +79,7 @@
     due: float  # the client's time is up
     until: float  # no sense or no time in starting it later
     value: float  # worth for its work
+    most: int  # attempts
     attempts: list[_Attempt] = field(default_factory=list)
     late: bool = False  # too late for the full worth, held for the worth of a late answer
 
@@ -211,7 +212,7 @@
         """Rule 2, the one gate of sends: which workers may get the next attempt; None: none may."""
         risky = [a for a in r.attempts if a.verdict not in NEVER_RAN]
         out = any(a.verdict is None for a in risky)
-        spent = len(r.attempts) >= self.set.max_attempts or (r.attempts and self.spare < 1)
+        spent = len(r.attempts) >= r.most or (r.attempts and self.spare < 1)
         if spent or (out and not self.set.may_copy):
             return None
         if not risky or r.kind.effect is i.Effect.SAFE:
@@ -384,7 +385,7 @@
                 if late and attempt.unused > self.keep / 2:  # silent after a pause: connections die unseen
                     self.keep, attempt.unused, attempt.started = 0.7 * self.keep, 0.0, now
                     attempt.worker.unstarted -= 1  # so it does not bar the worker
-            hope = len(r.attempts) < self.set.max_attempts and (now < r.until or r.kind.late_worth)
+            hope = len(r.attempts) < r.most and (now < r.until or r.kind.late_worth)
             if late and hope and self.set.may_cancel and r.due - now > r.kind.aim:
                 attempt.moved = True
                 self.todo.append(i.Cancel(name, number))
@@ -397,7 +398,8 @@
         # Begun later it ends past its aim: its own run and the usual wait at a worker come off.
         until = min(due - SLACK, now + max(kind.aim + (kind.stretch - 1) * run - self.wait, self.aim / 2))
         value = kind.worth * self._share(event.tenant, now) / (slots * run)
-        r = _Request(event.request, event.cls, kind, slots, due, until, value)
+        most = self.set.max_attempts if event.most is None else min(event.most, self.set.max_attempts)
+        r = _Request(event.request, event.cls, kind, slots, due, until, value, most)
         self.requests[event.request] = r
         worker = None if self.held else self._pick(r, self._free(now), now)
         if worker is not None:
--- a/wickgw/cli/__init__.py
+++ b/wickgw/cli/__init__.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from wickgw.cli import address, serve
+from wickgw.cli import address, route, serve
 
 app = typer.Typer(
     add_completion=False,
@@ -17,3 +17,4 @@
 )
 app.add_typer(serve.app)
 app.add_typer(address.app, name="address")
+app.add_typer(route.app, name="route")
--- a/wickgw/config/ini.py
+++ b/wickgw/config/ini.py
@@ -23,30 +23,52 @@
     if path is None and not DEFAULT.exists():
         return None
     path = path or DEFAULT
+    raw, lines = _read(path)
+    if not raw:
+        return None
+    for beside in raw.get("routing", {}).get("expectations", "").split():
+        more, more_lines = _read(path.parent / beside)
+        for title in more:
+            if title.partition(":")[0] not in ("expect", "worker"):
+                raise ConfigError(
+                    f"{path.parent / beside}: [{title}]: only [expect:NAME] and [worker:NAME] are allowed"
+                )
+            if title in raw:
+                raise ConfigError(f"{path.parent / beside}: [{title}]: it is in another file already")
+        raw |= more
+        lines |= more_lines
+    return _checked(path, raw, lines)
+
+
+def _read(path: Path) -> tuple[dict[str, dict[str, str]], dict[str, int]]:
+    """The sections of a file, and the line on which each begins. Raises ConfigError."""
     parser = configparser.ConfigParser(interpolation=None, delimiters=("=",), default_section="")
     parser.optionxform = str  # type: ignore[assignment]
     try:
         if path.stat().st_size > MOST:
             raise ConfigError(f"{path}: larger than {MOST} bytes")
-        parser.read_string(path.read_text("utf-8"), str(path))
+        text = path.read_text("utf-8")
+        parser.read_string(text, str(path))
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from error
     except UnicodeDecodeError as error:
         raise ConfigError(f"{path}: not UTF-8 at byte {error.start}") from error
     except configparser.Error as error:
         raise ConfigError(" ".join(str(error).split())) from error
-    if not parser.sections():
-        return None
-    return _checked(path, {title: dict(parser.items(title)) for title in parser.sections()})
+    numbered = enumerate(text.splitlines(), 1)
+    lines = {
+        line.strip()[1:-1]: n for n, line in numbered if line.startswith("[") and line.strip()[-1] == "]"
+    }
+    return {title: dict(parser.items(title)) for title in parser.sections()}, lines
 
 
-def _checked(path: Path, raw: dict[str, dict[str, str]]) -> "Operator":
+def _checked(path: Path, raw: dict[str, dict[str, str]], lines: dict[str, int]) -> "Operator":
     from pydantic import ValidationError
 
     from wickgw.config.schema import Operator, sections
 
     try:
-        return Operator.model_validate(sections(raw))
+        return Operator.model_validate(sections(raw, lines))
     except ValidationError as error:
         raise ConfigError(f"{path}: {_worded(error.errors()[0])}") from error
     except ValueError as error:
@@ -57,8 +79,11 @@
     """`[section] key: 'value' read, ... allowed`."""
     place = [str(part) for part in error["loc"]]
     section, keys = (place[0] if place else "file"), place[1:]
-    if section == "address" and keys[:1] == ["services"] and len(keys) > 1:
-        section, keys = f"address:{keys[1]}", keys[2:]
+    from wickgw.config.schema import TABLES
+
+    kinds = {table: kind for kind, table in TABLES.items()}
+    if len(keys) > 1 and (kind := kinds.get((section, keys[0]))):
+        section, keys = f"{kind}:{keys[1]}", keys[2:]
     key = ".".join(k for k in keys if k != "[key]")
     message = error["msg"].removeprefix("Value error, ")
     if error["type"] == "missing":
--- a/wickgw/config/schema.py
+++ b/wickgw/config/schema.py
@@ -25,7 +25,7 @@
 
 
 def _words(value: object) -> object:
-    return tuple(value.replace(",", " ").split()) if isinstance(value, str) else value
+    return tuple(value.split()) if isinstance(value, str) else value
 
 
 def _pairs(value: object) -> object:
@@ -115,27 +115,146 @@
         return self
 
 
+class RouteMatch(Section):
+    """What [route:NAME] and [expect:NAME] say of requests. An open field means any."""
+
+    host: Words = Field((), description="hosts; *.example.org is any host below it")
+    path: Words = Field((), description="whole paths")
+    path_prefix: Words = Field((), description="paths and all below them, by whole segments")
+    path_pattern: Words = Field((), description="regular expressions for whole paths")
+    method: Words = Field((), description="methods")
+    job_class: Words = Field((), alias="class", description="classes: the first part of the path")
+    zone: Words = Field((), description="zones that the client is in")
+    headers: dict[str, str] = Field(
+        default_factory=dict,
+        description="header.NAME = present, absent, values, or: not values",
+    )
+    line: int = Field(0, exclude=True)
+
+
+class RouteSettings(RouteMatch):
+    """[route:NAME]"""
+
+    pools: Words = Field(min_length=1, max_length=8, description="pools, the first that is not out serves")
+    priority: int = Field(0, ge=-1000, le=1000, description="the highest wins; within it the most specific")
+    attempts: int | None = Field(None, ge=1, le=6, description="at most; never more than the platform allows")
+    time_limit_ms: int | None = Field(
+        None, ge=1, le=600_000, description="at most; never more than the class's"
+    )
+
+
+class PoolSettings(Section):
+    """[pool:NAME]"""
+
+    zone: Words = Field((), description="zones of its workers")
+    model: Words = Field((), description="models")
+    group: Words = Field((), description="groups")
+    name: Words = Field((), description="workers by name, with * and ?")
+    out: str = Field(
+        "none-ready",
+        pattern=r"^(none-ready|all-draining|fewer-than [1-9][0-9]{0,4})$",
+        description="when the next pool serves: none-ready, all-draining or fewer-than N",
+    )
+    line: int = Field(0, exclude=True)
+
+    @model_validator(mode="after")
+    def _groups_are_numbers(self) -> "PoolSettings":
+        if any(not (g.isascii() and g.isdigit()) for g in self.group):
+            raise ValueError(f"group: {' '.join(self.group)!r} read; whole numbers are allowed")
+        return self
+
+
+class WorkerSettings(Section):
+    """[worker:NAME], for checks without traffic"""
+
+    zone: str = Field("", description="its zone")
+    model: str = Field("", description="its model")
+    group: int = Field(0, description="its group")
+    line: int = Field(0, exclude=True)
+
+
+class ExpectSettings(RouteMatch):
+    """[expect:NAME]"""
+
+    why: str = Field("", description="a line for whoever reads that it broke")
+    fleet: str = Field("any", description="any, all ready, or: draining|gone zone:ZONE|WORKERS; ...")
+    unless: str = Field("", description="draining|gone|out zone:ZONE|WORKERS; ...: any of them excuses")
+    expect: str = Field("", description="pool|zone|workers NAMES, refused, not found, attempts N")
+    never: str = Field("", description="the same, which must not come about")
+
+    @model_validator(mode="after")
+    def _one_of_two(self) -> "ExpectSettings":
+        if bool(self.expect) == bool(self.never):
+            raise ValueError("one of expect and never is allowed, and needed")
+        return self
+
+
+class RoutingSettings(Section):
+    """[routing]"""
+
+    enabled: bool = Field(False, description="serve by these routes; checks need no such thing")
+    zones: Words = Field((), description="all zones, for checks")
+    classes: Words = Field((), description="all classes, for checks")
+    attempts: int = Field(6, ge=1, le=6, description="attempts that the platform allows, for checks")
+    zone_header: str = Field(
+        "", description="a header that tells the client's zone; else the dispatcher's own"
+    )
+    expectations: Words = Field((), description="files beside this one with [expect:NAME] and [worker:NAME]")
+    pools: dict[Name, PoolSettings] = Field(default_factory=dict, max_length=1000)
+    routes: dict[Name, RouteSettings] = Field(default_factory=dict, max_length=10_000)
+    workers: dict[str, WorkerSettings] = Field(default_factory=dict, max_length=10_000)
+    expects: dict[Name, ExpectSettings] = Field(default_factory=dict, max_length=10_000)
+
+    @model_validator(mode="after")
+    def _pools_are_there(self) -> "RoutingSettings":
+        for name, route in self.routes.items():
+            if unknown := [p for p in route.pools if p not in self.pools]:
+                raise ValueError(f"pools of route {name}: no pool is called {unknown[0]}")
+        if self.enabled and not self.routes:
+            raise ValueError("enabled: at least one route is needed")
+        return self
+
+
 class Operator(Section):
     """The whole file."""
 
     log: LogSettings = LogSettings()
     address: AddressSettings | None = None
+    routing: RoutingSettings | None = None
+
+
+# A section [KIND:NAME] is an entry of a table of the section that it belongs to.
+TABLES = {
+    "address": ("address", "services"),
+    "pool": ("routing", "pools"),
+    "route": ("routing", "routes"),
+    "worker": ("routing", "workers"),
+    "expect": ("routing", "expects"),
+}
 
 
-def sections(raw: dict[str, dict[str, str]]) -> dict[str, Any]:
+def sections(raw: dict[str, dict[str, str]], lines: dict[str, int]) -> dict[str, Any]:
     """The sections of a file as the data of Operator. Raises ValueError naming a section that is unknown."""
-    data: dict[str, Any] = {}
-    services: dict[str, dict[str, str]] = {}
+    data: dict[str, Any] = {
+        title: dict(keys) for title, keys in raw.items() if title in Operator.model_fields
+    }
     for title, keys in raw.items():
         kind, colon, name = title.partition(":")
-        if title in ("log", "address"):
-            data[title] = dict(keys)
-        elif kind == "address" and colon:
-            services[name.strip()] = {**keys, "name": name.strip()}
+        if title in data:
+            continue
+        if not colon or kind not in TABLES:
+            known = ", ".join([*(f"[{k}]" for k in Operator.model_fields), *(f"[{k}:NAME]" for k in TABLES)])
+            raise ValueError(f"[{title}]: unknown; {known} are allowed")
+        owner, table = TABLES[kind]
+        if owner not in data:
+            raise ValueError(f"[{title}]: allowed only with a section [{owner}]")
+        entry: dict[str, Any] = dict(keys)
+        if kind == "address":
+            entry["name"] = name.strip()
         else:
-            raise ValueError(f"[{title}]: unknown; [log], [address] and [address:NAME] are allowed")
-    if "address" in data:
-        data["address"]["services"] = services
-    elif services:
-        raise ValueError(f"[address:{next(iter(services))}]: allowed only with a section [address]")
+            entry["line"] = lines.get(title, 0)
+            headers = {k[7:].lower(): entry.pop(k) for k in list(entry) if k.lower().startswith("header.")}
+            if headers:
+                entry["headers"] = headers
+        data[owner].setdefault(table, {})[name.strip()] = entry
     return data
--- a/wickgw/interface.py
+++ b/wickgw/interface.py
@@ -137,6 +137,7 @@
     patience: float  # seconds until the client gives this try up
     tenant: int = 0
     slots: float = 1.0
+    most: int | None = None  # attempts, if fewer than Settings.max_attempts
 
 
 @dataclass(frozen=True, slots=True)
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -16,14 +16,14 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import Protocol
-from urllib.parse import unquote
 
 import structlog
 
 from wickgw import interface as i
 from wickgw.net import http
-from wickgw.net.dispatch import Answer, AnswerKind, Dispatcher, RequestContext
+from wickgw.net.dispatch import Answer, AnswerKind, RequestContext
 from wickgw.net.peers import Job
+from wickgw.net.pools import NoRoute, Pools
 from wickgw.net.sockets import Connection, Sockets
 
 log = structlog.get_logger("wickgw")
@@ -126,7 +126,7 @@
 
     def reject(self, status: int, reason: str, fields: dict[str, str] | None = None) -> None:
         """Answer a request that was not taken."""
-        self.clients.dispatcher.counters[f"rejected.{status}"] += 1
+        self.clients.counters[f"rejected.{status}"] += 1
         self.write(status, f"{reason}\n".encode(), TEXT | (fields or {}))
 
     def write(self, status: int, body: bytes, fields: dict[str, str]) -> None:
@@ -155,7 +155,7 @@
 
     def fence(self) -> None:
         """End it without a word: whatever it could still say is no longer ours to say."""
-        self.clients.dispatcher.counters["fenced"] += 1
+        self.clients.counters["fenced"] += 1
         self.ending = self.discarding = True
         if self.sock is not None:
             with contextlib.suppress(OSError):
@@ -194,7 +194,7 @@
         self.clients.forget(self)
         context, self.context = self.context, None
         if context is not None:
-            self.clients.dispatcher.left(context)
+            context.leave()
 
 
 class Listener:
@@ -235,14 +235,14 @@
                 return
             except OSError as error:
                 log.warning("accept.failed", error=str(error))
-                clients.dispatcher.counters["accept_errors"] += 1
+                clients.counters["accept_errors"] += 1
                 if not clients.make_room() or not last:
                     self._pause()
                     return
                 continue
             if self.gate is not None:
                 if not self.gate.may_take():
-                    clients.dispatcher.counters["fenced.connections"] += 1
+                    clients.counters["fenced.connections"] += 1
                     reset(sock)
                     continue
                 # An answer fits whole into the system's buffer: none is left here to be written later.
@@ -287,11 +287,12 @@
         self,
         loop: asyncio.AbstractEventLoop,
         sockets: Sockets,
-        dispatcher: Dispatcher,
+        pools: Pools,
         settings: i.Settings,
         report: Callable[[], dict[str, object]],
     ) -> None:
-        self.loop, self.sockets, self.dispatcher, self.report = loop, sockets, dispatcher, report
+        self.loop, self.sockets, self.pools, self.report = loop, sockets, pools, report
+        self.counters = pools.counters
         self.classes = {c.name: (n, c.deadline) for n, c in enumerate(settings.classes)}
         self.connections: set[ClientConnection] = set()
         # Connections that owe nothing, longest so first, in the order in which they make room for others:
@@ -322,7 +323,7 @@
         connection = next(itertools.chain(at_rest, halves), None)
         if connection is None:
             return False
-        self.dispatcher.counters["evicted"] += 1
+        self.counters["evicted"] += 1
         self._drop(connection)
         return True
 
@@ -331,7 +332,7 @@
         connection = ClientConnection(self, gate)
         self.connections.add(connection)
         self.waits(connection)  # not at rest until it is opened, so it is not closed unseen
-        self.dispatcher.counters["connections"] += 1
+        self.counters["connections"] += 1
         self.sockets.adopt(sock, connection, accepted=True)
 
     def _drop(self, connection: ClientConnection) -> None:
@@ -371,7 +372,7 @@
                 connection.keep = False
                 connection.reject(408, "the request did not come in")
             elif not connection.known and connection.quiet():
-                self.dispatcher.counters["silent"] += 1
+                self.counters["silent"] += 1
                 self._drop(connection)
 
     # Requests.
@@ -385,7 +386,12 @@
         if path.startswith("/-/"):
             self._operator(connection, request.method, path)
             return
-        cls, longest = self.classes.get(unquote(path[1:].partition("/")[0]), (-1, 0.0))
+        try:
+            choice = self.pools.choose(request)
+        except NoRoute as none:
+            connection.reject(400 if none.malformed else 404, str(none))
+            return
+        cls, longest = self.classes.get(self.pools.job_class(request), (-1, 0.0))
         if cls < 0:
             connection.reject(404, "no such class")
             return
@@ -402,12 +408,12 @@
             connection.reject(400, "Req-Extra is malformed")
         else:
             # No client waits longer than its class allows, whatever it says: 11 days would be owed an answer.
-            patience = min(int(wait) / 1000, longest) - ALLOWANCE
+            patience = min(int(wait) / 1000, longest, choice.time_limit) - ALLOWANCE
             due = self.loop.time() + (patience if gate is None else min(patience, gate.time_left()))
             job = Job(request.method, request.target, request.body)
-            context = RequestContext(name, cls, due, job, connection, slots)
+            context = RequestContext(name, cls, due, job, connection, slots, choice.attempts)
             connection.taken(context)
-            if not self.dispatcher.take(context):
+            if not self.pools.take(choice, context):
                 connection.context = None
                 self.waits(connection)
                 connection.reject(409, "Req-Id is in use")
@@ -447,7 +453,7 @@
         """Whatever was taken through a gate is answered within so many seconds."""
         for connection in self.through(gate):
             if connection.context is not None:
-                self.dispatcher.hurry(connection.context, self.loop.time() + within)
+                connection.context.hurry(self.loop.time() + within)
 
     def cut(self, gate: Gate) -> None:
         """End all that came through a gate; requests in hand are over, and the decisions hear of it."""
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -11,7 +11,7 @@
 import random
 import socket
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import structlog
 
@@ -27,7 +27,14 @@
 MAX_LIST = 4 << 20
 REBUILT = 5  # whole lists in a row of an older version until it is believed that discovery began anew
 
-Target = tuple[i.Entry, str]  # and where it listens
+
+class Target(NamedTuple):
+    """One worker of the list."""
+
+    entry: i.Entry
+    endpoint: str  # where it listens
+    zone: str = ""  # by its name
+    model: str = ""
 
 
 class ListError(Exception):
@@ -62,10 +69,12 @@
         if not isinstance(uid, str) or not isinstance(endpoint, str):
             raise ListError("a target without a name or an endpoint")
         address(endpoint)
+        named, model = str(zone), str(t.get("model") or "")
         if isinstance(zone, str):  # a zone of no name that we know is nobody's home
             zone = self.zones.index(zone) if zone in self.zones else len(self.zones)
         since = self.clock.at_unix_ms(float(t.get("boot_ms") or 0))
-        return i.Entry(uid, i.Health(t["state"]), int(zone), int(t.get("pod_group") or 0), since), endpoint
+        entry = i.Entry(uid, i.Health(t["state"]), int(zone), int(t.get("pod_group") or 0), since)
+        return Target(entry, endpoint, named, model)
 
 
 class DiscoveryConnection(Connection):
--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -92,10 +92,22 @@
     job: Any  # what the client's side hands to the peers' side; not looked at here
     client: ClientSide | None  # None once answered or gone
     slots: float = 1.0
+    most: int | None = None  # attempts, if its route allows fewer
+    home: "Dispatcher | None" = None  # whose it is, once taken
     tries: int = 0  # started
     out: set[int] = field(default_factory=set)  # those without an outcome
     guard: asyncio.TimerHandle | None = None
 
+    def leave(self) -> None:
+        """Its client is gone."""
+        if self.home is not None:
+            self.home.left(self)
+
+    def hurry(self, due: float) -> None:
+        """Its answer must be out by then."""
+        if self.home is not None:
+            self.home.hurry(self, due)
+
 
 class Dispatcher:
     """Runs one Balancer on the loop: events in, actions carried out in order."""
@@ -135,13 +147,14 @@
         if context.id in self.contexts:
             return False
         self.counters["taken"] += 1
+        context.home = self
         if self.stop_by is not None:
             context.due = min(context.due, self.stop_by)
         self.contexts[context.id] = context
         # The Balancer answers in time by itself. Should it fail at that, the client is still told.
         self._guard(context)
         patience = context.due - self.clock.now()
-        self._feed(i.Arrival(context.id, context.cls, patience, slots=context.slots))
+        self._feed(i.Arrival(context.id, context.cls, patience, slots=context.slots, most=context.most))
         return True
 
     def left(self, context: RequestContext) -> None:
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -341,6 +341,7 @@
         self.idle_order: OrderedDict[PeerConnection, None] = OrderedDict()  # longest idle first
         self.opened = 0
         self._sweeper = loop.call_later(SWEEP, self._sweep)
+        sockets.sides.append(self)
 
     def place(self, worker: str, endpoint: str, since: float | None) -> None:
         """Discovery says where a peer listens, and since when. What idled there before is of no more use."""
@@ -373,9 +374,9 @@
                 connection.carry(try_)
                 return
             connection.drop()
-        if len(self.connections) >= self.sockets.for_peers and self.idle_order:
-            self._close_one_idle()
-        if len(self.connections) >= self.sockets.for_peers:
+        if self.sockets.peers_left(self) <= 0 and not self.close_one_idle():
+            any(other.close_one_idle() for other in self.sockets.sides)
+        if self.sockets.peers_left(self) <= 0:
             try_.end(i.Verdict.CONNECT_FAILED)  # no descriptor left: true, it never ran
             return
         try_.connection = connection = PeerConnection(self, peer, try_)
@@ -418,11 +419,15 @@
             del self.idle_order[connection]
             connection.peer.idle.remove(connection)
 
-    def _close_one_idle(self) -> None:
-        connection = next(iter(self.idle_order))
+    def close_one_idle(self) -> bool:
+        """Close the connection that idled longest; whether there was one."""
+        connection = next(iter(self.idle_order), None)
+        if connection is None:
+            return False
         self._unpool(connection)
         self.connections.discard(connection)
         connection.drop()
+        return True
 
     def _sweep(self) -> None:
         """Close what has idled so long that the peer may close it while a job is on its way."""
@@ -435,5 +440,6 @@
     def close(self) -> None:
         """Give everything back."""
         self._sweeper.cancel()
+        self.sockets.sides.remove(self)
         for connection in list(self.connections):
             connection.drop()
--- /dev/null
+++ b/wickgw/net/pools.py
@@ -0,0 +1,325 @@
+"""Pools: each has a decision module of its own, a list of workers, connections, counters; routes choose one.
+
+Without routes there is one pool with all workers, and nothing of routing is imported. Owns the pools, the
+list as it is held now, and the pools that a reload has retired: they go on, under the table that their
+requests were taken under, until the last of those has ended. It must never choose a worker, nor tell a pool
+of news later than it came.
+"""
+
+import asyncio
+import zlib
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from urllib.parse import unquote
+
+import structlog
+
+from wickgw import interface as i
+from wickgw.balance import Balancer
+from wickgw.config.relay import Config
+from wickgw.net import http
+from wickgw.net.discovery import Target
+from wickgw.net.dispatch import Clock, Dispatcher, RequestContext
+from wickgw.net.peers import Peers
+from wickgw.net.sockets import Sockets
+
+if TYPE_CHECKING:
+    from wickgw.routing.match import Request
+    from wickgw.routing.table import Pool, Route, Table, Worker
+
+log = structlog.get_logger("wickgw.routing")
+RETIRING = 0.5  # seconds between looks at whether a retired pool has ended its last request
+
+
+class PoolServer:
+    """One pool: who decides for it, and what it holds."""
+
+    def __init__(
+        self,
+        name: str,
+        has: Callable[[Target], bool],
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        sockets: Sockets,
+    ) -> None:
+        self.name, self.has = name, has
+        settings = config.settings
+        self.peers = Peers(loop, sockets, settings.connect_timeout, settings.idle_close)
+        balancer = Balancer(settings, config.seed + zlib.crc32(name.encode()))  # 0 for the one without a name
+        self.dispatcher = self.peers.dispatcher = Dispatcher(balancer, loop, clock, self.peers)
+        self.states: dict[str, i.Health] = {}  # of its workers
+
+    def begin(self, known: list[Target]) -> None:
+        """Its life begins, with the list as it was held last."""
+        mine = [target for target in known if self.has(target)]
+        for target in mine:
+            self.peers.place(target.entry.worker, target.endpoint, target.entry.since)
+            self.states[target.entry.worker] = target.entry.health
+        self.dispatcher.begin(tuple(target.entry for target in mine))
+
+    def told(self, kind: i.ListKind, targets: list[Target]) -> None:
+        """News of the list: addresses first, since the Balancer may send at once; what left goes last."""
+        entries, gone = [], set()
+        for target in targets:
+            entry, worker, mine = target.entry, target.entry.worker, self.has(target)
+            if mine and entry.health is not i.Health.GONE:
+                self.peers.place(worker, target.endpoint, entry.since)
+                entries.append(entry)
+            elif mine or worker in self.states:  # gone from the list, or from this pool
+                gone.add(worker)
+                if kind is not i.ListKind.REPLACE:
+                    entries.append(i.Entry(worker, i.Health.GONE, entry.zone, entry.cell, entry.since))
+        if kind is i.ListKind.REPLACE:
+            gone |= self.states.keys() - {entry.worker for entry in entries}
+            self.states = {}
+        self.states |= {entry.worker: entry.health for entry in entries}
+        for worker in gone:
+            self.states.pop(worker, None)
+        if entries or kind is i.ListKind.REPLACE:
+            self.dispatcher.listed(kind, tuple(entries))
+        for worker in gone:
+            self.peers.remove(worker)
+
+    @property
+    def counts(self) -> tuple[int, int]:
+        """Its ready and its draining workers."""
+        states = list(self.states.values())
+        return states.count(i.Health.READY), states.count(i.Health.DRAINING)
+
+    def report(self) -> dict[str, object]:
+        """Counters, and what it holds now."""
+        ready, draining = self.counts
+        held = {"owed": self.dispatcher.owed, "ready": ready, "draining": draining}
+        held |= {"tries_out": len(self.peers.tries), "peer_connections": len(self.peers.connections)}
+        return {"counters": dict(self.dispatcher.counters), "now": held}
+
+    def close(self) -> None:
+        """Give everything back."""
+        self.dispatcher.close()
+        self.peers.close()
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a request goes, and what its route makes less of."""
+
+    pool: PoolServer
+    attempts: int | None = None
+    time_limit: float = float("inf")
+
+
+class NoRoute(Exception):
+    """No route takes it; or it has no normal form (`malformed`)."""
+
+    def __init__(self, why: str, malformed: bool = False) -> None:
+        super().__init__(why)
+        self.malformed = malformed
+
+
+class Pools:
+    """All pools of a process, and the table that chooses among them, if there is one."""
+
+    def __init__(
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        sockets: Sockets,
+        table: "Table | None" = None,
+        zone_header: str = "",
+    ) -> None:
+        self.config, self.loop, self.clock, self.sockets = config, loop, clock, sockets
+        self.table, self.zone_header = table, zone_header.lower()
+        self.list: dict[str, Target] = {}
+        self.servers: dict[str, PoolServer] = {}
+        self.retired: list[PoolServer] = []
+        self.ties: set[tuple[str, ...]] = set()
+        self._stop_by: float | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+        settings = config.settings
+        self.zone = settings.zones[settings.zone] if settings.zone < len(settings.zones) else ""
+        if table is None:
+            self.servers[""] = PoolServer("", lambda target: True, config, loop, clock, sockets)
+            self.counters = self.servers[""].dispatcher.counters
+        else:
+            self.counters = Counter[str]()
+            for pool in table.pools.values():
+                self.servers[pool.name] = self._serve(pool)
+
+    def _serve(self, pool: "Pool") -> PoolServer:
+        return PoolServer(
+            pool.name, lambda t: pool.has(worker_of(t)), self.config, self.loop, self.clock, self.sockets
+        )
+
+    @property
+    def all(self) -> list[PoolServer]:
+        """Those of the table, and those retired."""
+        return [*self.servers.values(), *self.retired]
+
+    # The list.
+
+    def begin(self, known: list[Target]) -> None:
+        """The life of every pool begins."""
+        self.list = {target.entry.worker: target for target in known}
+        for server in self.all:
+            server.begin(known)
+
+    def told(self, kind: i.ListKind, targets: list[Target]) -> None:
+        """News of the list, to every pool at once."""
+        if kind is i.ListKind.REPLACE:
+            self.list = {}
+        for target in targets:
+            if target.entry.health is i.Health.GONE:
+                self.list.pop(target.entry.worker, None)
+            else:
+                self.list[target.entry.worker] = target
+        for server in self.all:
+            server.told(kind, targets)
+
+    # Requests.
+
+    def choose(self, request: http.Request) -> Choice:
+        """The pool of a request. Raises NoRoute."""
+        if self.table is None:
+            return Choice(self.servers[""])
+        asked = self.normal(request)
+        taken = self.table.take(asked)
+        route = taken.route
+        if route is None:
+            self.counters["routes.none"] += 1
+            raise NoRoute("no route takes this")
+        if taken.tied:
+            self._tied(taken.tied, asked)
+        name, out = self.table.pool_for(route, _Counts(self.servers))
+        self.counters[f"routes.{route.name}"] += 1
+        if out:
+            self.counters["routes.out"] += 1
+        limit = float("inf") if route.time_limit is None else route.time_limit
+        return Choice(self.servers[name], route.attempts, limit)
+
+    def job_class(self, request: http.Request) -> str:
+        """The first part of the path; in its normal form where there are routes."""
+        if self.table is None:
+            return unquote(request.path[1:].partition("/")[0])
+        return unquote(self.normal(request).job_class)
+
+    def normal(self, request: http.Request) -> "Request":
+        """A request as routing sees it. Raises NoRoute if it has no normal form."""
+        from wickgw.routing import normal
+        from wickgw.routing.match import Request
+
+        zone = request.headers.get(self.zone_header, "") if self.zone_header else ""
+        known = self.config.settings.zones
+        try:
+            host, path = normal.host(request.headers.get("host", "")), normal.path(request.path)
+        except normal.Malformed as error:
+            raise NoRoute(str(error), malformed=True) from error
+        return Request(host, path, request.method, zone if zone in known else self.zone, request.headers)
+
+    def _tied(self, routes: "tuple[Route, ...]", asked: "Request") -> None:
+        """None is the most specific: the first in the file serves. `wickgw route check` says so before."""
+        self.counters["routes.tied"] += 1
+        names = tuple(route.name for route in routes)
+        if names not in self.ties and len(self.ties) < 100:
+            self.ties.add(names)
+            log.warning("route.tied", routes=" ".join(names), request=asked.told())
+
+    def take(self, choice: Choice, context: RequestContext) -> bool:
+        """A request has come; False if its id is still in use, in whatever pool."""
+        if self.table and any(context.id in s.dispatcher.contexts for s in self.all):
+            return False
+        return choice.pool.dispatcher.take(context)
+
+    # Reload.
+
+    def replace(self, table: "Table") -> None:
+        """Another table, for requests from now on. A pool that is chosen alike keeps what it has learned;
+        any other is a new one, and the old one retires with the requests that it has."""
+        assert self.table is not None
+        old, self.table = self.table, table
+        servers = {}
+        for pool in table.pools.values():
+            if old.pools.get(pool.name) == pool:
+                servers[pool.name] = self.servers.pop(pool.name)
+                continue
+            server = servers[pool.name] = self._serve(pool)
+            server.begin(list(self.list.values()))
+            if self._stop_by is not None:
+                server.dispatcher.stop(self._stop_by - self.clock.now())
+        for server in self.servers.values():
+            log.info("pool.retired", pool=server.name, owed=server.dispatcher.owed)
+        self.retired += self.servers.values()
+        self.servers = servers
+        self.ties.clear()
+        log.info("routes.replaced", routes=len(table.routes), pools=len(table.pools))
+        self._sweep()
+
+    def _sweep(self) -> None:
+        """Retired pools end with their last request."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+            self._sweeper = None
+        for server in [s for s in self.retired if not s.dispatcher.contexts]:
+            self.counters["pools.ended"] += 1
+            server.close()
+            self.retired.remove(server)
+        if self.retired:
+            self._sweeper = self.loop.call_later(RETIRING, self._sweep)
+
+    # What a node asks of all together.
+
+    @property
+    def owed(self) -> int:
+        """Requests without their final answer."""
+        return sum(server.dispatcher.owed for server in self.all)
+
+    def stop(self, within: float) -> None:
+        """The process ends in so many seconds."""
+        self._stop_by = self.clock.now() + within
+        for server in self.all:
+            server.dispatcher.stop(within)
+
+    def report(self) -> dict[str, object]:
+        """What is held, over all pools; and each pool's own, where there are routes."""
+        every = self.all
+        now: dict[str, object] = {
+            "owed": self.owed,
+            "tries_out": sum(len(s.peers.tries) for s in every),
+            "peer_connections": sum(len(s.peers.connections) for s in every),
+            "peers": len({worker for s in every for worker in s.peers.peers}),
+            "peer_connections_opened": sum(s.peers.opened for s in every),
+            "max_stall_ms": round(max(s.dispatcher.max_stall for s in every) * 1000, 1),
+        }
+        if self.table is None:
+            return {"now": now}
+        pools = {name: server.report() for name, server in self.servers.items()}
+        return {"now": now | {"pools_retired": len(self.retired)}, "pools": pools}
+
+    def close(self) -> None:
+        """Give everything back."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for server in self.all:
+            server.close()
+
+
+class _Counts(dict[str, tuple[int, int]]):
+    """Workers of each pool by state, counted when a pool is looked at and not before."""
+
+    def __init__(self, servers: dict[str, PoolServer]) -> None:
+        super().__init__()
+        self.servers = servers
+
+    def get(self, name: str, default: object = None) -> tuple[int, int]:
+        """Ready and draining."""
+        return self.servers[name].counts
+
+
+def worker_of(target: Target) -> "Worker":
+    """A target as a pool's choice sees it."""
+    from wickgw.routing.table import Worker
+
+    return Worker(target.entry.worker, target.zone, target.model, target.entry.cell)
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -9,7 +9,7 @@
 import asyncio
 import resource
 import socket
-from typing import cast
+from typing import Any, Protocol, cast
 
 import structlog
 
@@ -82,6 +82,15 @@
         """For the subclass: no transport could be had for its socket, which is closed."""
 
 
+class PeerConnections(Protocol):
+    """One pool's connections to peers."""
+
+    connections: set[Any]
+
+    def close_one_idle(self) -> bool:
+        """Close the one that idled longest; whether there was one."""
+
+
 class Sockets:
     """How many connections there may be, and the tasks that open transports."""
 
@@ -89,6 +98,7 @@
         self.loop = loop
         self.limit(descriptors, memory_mb)
         self.opening = 0  # sockets that have no transport yet
+        self.sides: list[PeerConnections] = []  # one for each pool
         # A flood of clients must not delay a try or discovery: each side has tasks of its own.
         self._connected = {side: asyncio.Queue[tuple[socket.socket, Connection]]() for side in (True, False)}
         self._tasks = [
@@ -104,6 +114,13 @@
         fit = min(1.0, (memory_mb - BASE_MB) * 1e6 / (clients * _CLIENT + peers * _PEER))
         self.for_clients, self.for_peers = max(8, int(clients * fit)), max(8, int(peers * fit))
 
+    def peers_left(self, side: "PeerConnections") -> int:
+        """Connections that a pool may still open. Half of an even share is kept for each of the others, so
+        that one pool's trouble does not take the descriptors of all."""
+        share = self.for_peers // (2 * max(1, len(self.sides)))
+        kept = (max(share, len(o.connections)) for o in self.sides if o is not side)
+        return self.for_peers - sum(kept) - len(side.connections)
+
     def adopt(self, sock: socket.socket, connection: Connection, accepted: bool = False) -> None:
         """Give a connected socket to its connection; the transport owns the descriptor from then on."""
         self.opening += 1
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -17,19 +17,19 @@
 import structlog
 
 from wickgw import interface as i
-from wickgw.balance import Balancer
 from wickgw.config.ini import read_ini
 from wickgw.config.relay import Config, ConfigError, read_config
 from wickgw.net.clients import Clients
 from wickgw.net.discovery import Discovery, ListError, ListReader, Target
 from wickgw.net.dispatch import Clock, Dispatcher
-from wickgw.net.peers import Peers
+from wickgw.net.pools import Pools
 from wickgw.net.sockets import Sockets
 from wickgw.observe.log import set_up_log
 
 if TYPE_CHECKING:
     from wickgw.address.driver import Driver
     from wickgw.config.schema import Operator
+    from wickgw.routing.table import Table
 
 log = structlog.get_logger("wickgw")
 ACCEPT_ON = 0.6  # seconds after SIGTERM in which clients may still come: 0.4 announced, and some
@@ -56,16 +56,20 @@
     ) -> None:
         self.config, self.loop, self.operator, clock = config, loop, operator, Clock()
         self.sockets = Sockets(loop, config.descriptors, config.memory_mb)
-        self.peers = Peers(loop, self.sockets, config.settings.connect_timeout, config.settings.idle_close)
-        balancer = Balancer(config.settings, config.seed)
-        self.dispatcher = self.peers.dispatcher = Dispatcher(balancer, loop, clock, self.peers)
-        self.clients = Clients(loop, self.sockets, self.dispatcher, config.settings, self.report)
+        table, zone_header = routes_of(operator)
+        self.pools = Pools(config, loop, clock, self.sockets, table, zone_header)
+        self.clients = Clients(loop, self.sockets, self.pools, config.settings, self.report)
         reader = ListReader(clock, config.settings.zones)
         self.discovery = Discovery(loop, self.sockets, config.discovery, reader, self._told)
         self.address = self._address(clock)
         self.finished: asyncio.Future[None] = loop.create_future()
         self._begin(reader)
 
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """The one dispatcher, where there are no routes."""
+        return self.pools.servers[""].dispatcher
+
     def _address(self, clock: Clock) -> "Driver | None":
         """Moving service addresses, if the operator's file turns them on. Raises ConfigError."""
         settings = self.operator.address if self.operator else None
@@ -91,9 +95,7 @@
                 _, _, known = reader.decode(self.config.known)
             except ListError as error:
                 log.warning("known.unreadable", error=str(error))
-        for entry, endpoint in known:
-            self.peers.place(entry.worker, endpoint, entry.since)
-        self.dispatcher.begin(tuple(entry for entry, _ in known))
+        self.pools.begin(known)
         self.clients.ready = bool(known)
 
     def start(self) -> tuple[str, int]:
@@ -105,31 +107,20 @@
         return where
 
     def _told(self, kind: i.ListKind, targets: list[Target]) -> None:
-        """News of the list: addresses first, since the Balancer may send at once; what left goes last."""
-        for entry, endpoint in targets:
-            if entry.health is not i.Health.GONE:
-                self.peers.place(entry.worker, endpoint, entry.since)
-        self.dispatcher.listed(kind, tuple(entry for entry, _ in targets))
-        gone = {entry.worker for entry, _ in targets if entry.health is i.Health.GONE}
-        if kind is i.ListKind.REPLACE:
-            gone |= self.peers.peers.keys() - {entry.worker for entry, _ in targets}
-        for worker in gone:
-            self.peers.remove(worker)
+        """News of the list."""
+        self.pools.told(kind, targets)
         self.clients.ready = True
 
     def report(self) -> dict[str, object]:
         """The counters, and what is held right now."""
-        now = {
-            "owed": self.dispatcher.owed,
-            "tries_out": len(self.peers.tries),
+        told = self.pools.report()
+        now = told.pop("now")
+        assert isinstance(now, dict)
+        now |= {
             "client_connections": len(self.clients.connections),
-            "peer_connections": len(self.peers.connections),
-            "peers": len(self.peers.peers),
-            "peer_connections_opened": self.peers.opened,
             "discovery_version": self.discovery.version,
-            "max_stall_ms": round(self.dispatcher.max_stall * 1000, 1),
         }
-        return {"name": self.config.name, "counters": dict(self.dispatcher.counters), "now": now}
+        return {"name": self.config.name, "counters": dict(self.pools.counters), "now": now} | told
 
     def switch(self, new: Config) -> None:
         """Take over what a new configuration may change: where discovery is, and the limits. The list, the
@@ -143,7 +134,7 @@
         self.sockets.limit(new.descriptors, new.memory_mb)
         if new.discovery != old.discovery:
             self.discovery.move(new.discovery)
-        self.dispatcher.counters["reloads"] += 1
+        self.pools.counters["reloads"] += 1
         log.info("reload.done", discovery=new.discovery)
 
     def reload(self, sources: Sources) -> None:
@@ -153,7 +144,7 @@
             operator = read_ini(sources.ini)
             self._switch_operator(operator, sources.verbose)
         except ConfigError as error:
-            self.dispatcher.counters["reloads.failed"] += 1
+            self.pools.counters["reloads.failed"] += 1
             log.error("reload.failed", error=str(error))
             return
         self.switch(new)
@@ -165,6 +156,12 @@
             self.address.reload(address)
         elif (self.address is not None) != (address is not None and address.enabled):
             log.warning("reload.partly", not_taken="[address] enabled", until="the next start")
+        if self.pools.table is not None and routing_on(new):
+            table, _ = routes_of(new)
+            assert table is not None
+            self.pools.replace(table)
+        elif (self.pools.table is not None) != routing_on(new):
+            log.warning("reload.partly", not_taken="[routing] enabled", until="the next start")
         self.operator = new
         if (new.log if new else None) != (old.log if old else None):
             configure_log(new, verbose)
@@ -178,7 +175,7 @@
         if self.address is not None:
             self.address.resign()
         within = min(LONGEST, max(c.deadline for c in self.config.settings.classes)) + SPARE
-        self.dispatcher.stop(within)
+        self.pools.stop(within)
         # An answer that its client does not read must not keep the process until it is killed.
         self.loop.call_later(within + 0.1, self._finish)
         turn = self.loop.time() + max(ACCEPT_ON, within - WIND_DOWN)
@@ -199,7 +196,7 @@
     def _quiet(self) -> None:
         """Ends when nothing is owed and nothing unwritten; looks again in a moment otherwise."""
         self.clients.close_idle()
-        if self.dispatcher.owed or self.clients.unwritten or self.sockets.opening:
+        if self.pools.owed or self.clients.unwritten or self.sockets.opening:
             if not self.finished.done():
                 self.loop.call_later(SETTLE, self._quiet)
         else:
@@ -215,11 +212,24 @@
             self.address.close()
         self.discovery.close()
         self.clients.close()
-        self.dispatcher.close()
-        self.peers.close()
+        self.pools.close()
         self.sockets.close()
 
 
+def routing_on(operator: "Operator | None") -> bool:
+    """Whether the operator's file turns routes on."""
+    return operator is not None and operator.routing is not None and operator.routing.enabled
+
+
+def routes_of(operator: "Operator | None") -> "tuple[Table | None, str]":
+    """The table of the operator's file, and the header that tells a client's zone. Raises ConfigError."""
+    if operator is None or operator.routing is None or not operator.routing.enabled:
+        return None, ""
+    from wickgw.config.routes import table_of
+
+    return table_of(operator.routing), operator.routing.zone_header
+
+
 def configure_log(operator: "Operator | None", verbose: bool) -> None:
     """The log as the operator's file wants it."""
     if operator is None:
