Routes: operators' page, generated reference, design; serving refuses routes that tie

Need: operators read what each key, verdict, finding and event means; and two equally specific routes must not serve silently.

The reference of the INI keys is made from the schema and a test holds it; log events of routing are held against the page; serve and check end with 2 and show the request on which two routes tie.

Ruled out: checking ties in a serving process on reload, which would hold requests up for as long.

--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -5,13 +5,16 @@
 
 import pytest
 
+from wickgw.config.reference import reference
+
 ROOT = Path(__file__).parent.parent
 EVENT = re.compile(r"""(?:_note\(|\blog\.\w+\()\s*f?"([a-z]+\.[a-z{][^"\s]*)\"""")
 
 
-@pytest.mark.parametrize("package, page", [("address", "moving-address")])
+@pytest.mark.parametrize("package, page", [("address", "moving-address"), ("routing", "routing")])
 def test_each_log_event_of_a_subsystem_is_on_its_page(package: str, page: str) -> None:
-    code = "".join(path.read_text() for path in (ROOT / "wickgw" / package).glob("*.py"))
+    files = [*(ROOT / "wickgw" / package).glob("*.py"), *(ROOT / "wickgw" / "net").glob("pools.py")]
+    code = "".join(path.read_text() for path in files if package == "routing" or path.name != "pools.py")
     said = set(EVENT.findall(code.replace("structlog.get_logger", ""))) - {"member.{change.new.name.lower()}"}
     said |= {"member.alive", "member.suspected", "member.dead"} if package == "address" else set()
     text = (ROOT / "docs" / "operators" / f"{page}.md").read_text()
@@ -19,3 +22,8 @@
     rows = [line.split("|")[1] for line in table.splitlines() if line.startswith("| `")]
     told = {event for row in rows for event in re.findall(r"`([^`]+)`", row)}
     assert said == told, said ^ told
+
+
+def test_reference_of_keys_is_the_schema_s() -> None:
+    """Made anew by: wickgw reference > docs/operators/ini-reference.md"""
+    assert (ROOT / "docs" / "operators" / "ini-reference.md").read_text() == reference()
--- a/tests/test_route_cli.py
+++ b/tests/test_route_cli.py
@@ -1,11 +1,13 @@
 """`wickgw route`: the sample holds, edits of it are caught, and each command's output and exit codes."""
 
 import json
+import os
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
+from test_cli import GOOD
 
 from wickgw.config.relay import ConfigError
 from wickgw.config.routes import read_plan
@@ -200,3 +202,20 @@
     (tmp_path / "b.ini").write_text("[route:r]\npools = p\n")
     done = run("check", tmp_path / "a.ini")
     assert done.returncode == 2 and "only [expect:NAME] and [worker:NAME]" in done.stderr
+
+
+def test_serve_and_check_refuse_routes_that_tie(tmp_path: Path) -> None:
+    (tmp_path / "c.json").write_text(json.dumps(GOOD))
+    path = tmp_path / "r.ini"
+    route = "[route:{}]\nclass = look\npools = p\n"
+    path.write_text("[routing]\nenabled = yes\n[pool:p]\n" + route.format("a") + route.format("b"))
+    for command in ("serve", "check"):
+        done = subprocess.run(
+            [sys.executable, "-m", "wickgw", command, "--ini", str(path)],
+            env=os.environ | {"RELAY_CONFIG": str(tmp_path / "c.json")},
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        assert done.returncode == 2 and done.stderr.count("\n") == 1
+        assert "[route:a] and [route:b] tie on POST" in done.stderr
--- a/wickgw/cli/serve.py
+++ b/wickgw/cli/serve.py
@@ -13,7 +13,7 @@
 from wickgw.cli.common import told_plainly
 from wickgw.config.ini import read_ini
 from wickgw.config.relay import read_config
-from wickgw.node import Sources, configure_log, run
+from wickgw.node import Sources, check_routes, configure_log, run
 from wickgw.version import VERSION
 
 app = typer.Typer()
@@ -30,6 +30,7 @@
     """Serve as one dispatcher, configured by RELAY_CONFIG, until SIGTERM; SIGHUP reads it again."""
     with told_plainly():
         config, operator = read_config(os.environ), read_ini(ini)
+        check_routes(operator)
         configure_log(operator, verbose)
         asyncio.run(run(config, operator, Sources(os.environ, ini, verbose)))
 
@@ -39,6 +40,7 @@
     """Read the configuration as `serve` would and say what it holds."""
     with told_plainly():
         config, operator = read_config(os.environ), read_ini(ini)
+        check_routes(operator)
     s = config.settings
     print(f"name       {config.name}")
     print(f"listen     {config.listen[0]}:{config.listen[1]}")
@@ -51,6 +53,16 @@
     if operator is not None and operator.address is not None and operator.address.enabled:
         for name, service in operator.address.services.items():
             print(f"address    {name} at {service.at}, preferred by {' '.join(service.prefer) or 'nobody'}")
+    if operator is not None and operator.routing is not None and operator.routing.enabled:
+        print(f"routes     {len(operator.routing.routes)} to {len(operator.routing.pools)} pools")
+
+
+@app.command()
+def reference() -> None:
+    """Print the reference of the operator's file, made from its schema."""
+    from wickgw.config.reference import reference as page
+
+    print(page(), end="")
 
 
 @app.command()
--- a/wickgw/config/routes.py
+++ b/wickgw/config/routes.py
@@ -32,6 +32,25 @@
     return Table([_route(name, route) for name, route in settings.routes.items()], pools)
 
 
+def refuse_ties(settings: RoutingSettings) -> None:
+    """Before serving: raises ConfigError if two routes are equally specific on some request, and shows it.
+    What can't be decided within bounds is left to `wickgw route check`, which says `unknown`."""
+    from wickgw.routing.automata import NotRegular, TooLarge
+    from wickgw.routing.space import cells
+
+    table = table_of(settings)
+    try:
+        for cell in cells([route.match for route in table.routes], settings.zones):
+            tied = table.take(cell.witness).tied
+            if tied:
+                names = " and ".join(f"[route:{route.name}]" for route in tied)
+                raise ConfigError(
+                    f"{names} tie on {cell.witness.told()}; a priority for one of them is needed"
+                )
+    except (NotRegular, TooLarge):
+        return
+
+
 def plan_of(settings: RoutingSettings) -> Plan:
     """All that can be checked without traffic. Raises ConfigError."""
     workers = [Worker(name, w.zone, w.model, w.group) for name, w in settings.workers.items()]
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -230,6 +230,15 @@
     return table_of(operator.routing), operator.routing.zone_header
 
 
+def check_routes(operator: "Operator | None") -> None:
+    """Before serving: routes that tie are refused. Raises ConfigError."""
+    if routing_on(operator):
+        from wickgw.config.routes import refuse_ties
+
+        assert operator is not None and operator.routing is not None
+        refuse_ties(operator.routing)
+
+
 def configure_log(operator: "Operator | None", verbose: bool) -> None:
     """The log as the operator's file wants it."""
     if operator is None:
