Decisions at size: fair lines for the held, matrices booked in bulk, workers in an index

Cause: held requests were ordered by a value stamped from the estimate at arrival, so while it fell newcomers passed all that waited (requests waited 2.9 s beside a median of 6 ms); _learn looped over pairs of workers (0.75 s on 800); each event scanned the fleet.

Ticks are noted as vectors and added once a second; a large solve goes in steps; an index by row tells who is free.

--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -7,6 +7,7 @@
 
 from wickgw import balance
 from wickgw import interface as i
+from wickgw.books import Attempt
 
 ONE = i.Settings(classes=(SAFE,), tells_start=True)
 
@@ -26,6 +27,7 @@
         nxt = np.rint(keep * x).astype(np.int64) + u
         for w, before, after, sent in zip(b.order, x.tolist(), nxt.tolist(), u.tolist(), strict=True):
             w.before, w.flying, w.sent = before, after, sent
+        b.active.update(b.order)
         b._learn(c.now)
         x = nxt
     b._solve(0.0)
@@ -66,12 +68,13 @@
         for w in (w0, w1):
             w.flying += 2
             w.sent += 2
+        c.balancer.active.update((w0, w1))
         c.balancer._learn(c.now)
         c.now += 0.05
         for _ in range(2):  # both lose their two jobs: one serves them, the other lets them time out
             w0.flying -= 1
             w1.flying -= 1
-            c.balancer._unbook(balance._Attempt(w1, 1.0, c.now - 0.05, c.now))
+            c.balancer._unbook(Attempt(w1, 1.0, c.now - 0.05, c.now))
     c.balancer._solve(0.0)
     assert w1.q > w0.q
 
@@ -86,7 +89,9 @@
     c = Caller(ONE, entries=fleet(2))
     for w in c.balancer.order:
         w.q, w.before, w.flying, w.sent = 1.7, 100, 300, 0  # grows by itself: no such drain
+    c.balancer.active.update(c.balancer.order)
     c.balancer._learn(c.now)
+    c.balancer._solve(c.now)
     assert [w.q for w in c.balancer.order] == [1.7, 1.7]
 
 
@@ -94,9 +99,12 @@
     c = Caller(ONE, entries=fleet(3))
     serve(c, {"w0": 2.0, "w1": 10.0, "w2": 10.0}, 300)
     c.tell(i.Entry("w0", since=c.now))
-    assert c.balancer.workers["w0"].q == 1.0 and not c.balancer.sigma[2].any()
+    new, others = c.balancer.workers["w0"], c.balancer.order[:2]
+    assert new.q == 1 / (1 - balance.GAMMA * c.balancer.kept) and all(w.q != new.q for w in others)
+    assert not c.balancer.matrices.sigma[new.row].any() and not c.balancer.matrices.sigma[:, new.row].any()
     c.tell(i.Entry("w1", i.Health.GONE))
-    assert [w.id for w in c.balancer.order] == ["w2", "w0"] and c.balancer.sigma.shape == (2, 2)
+    assert [w.id for w in c.balancer.order] == ["w2", "w0"]
+    assert (c.balancer.matrices.sigma.diagonal() != 0).sum() == 1
 
 
 def test_wide_job_counts_as_the_slots_it_takes() -> None:
--- /dev/null
+++ b/wickgw/books.py
@@ -0,0 +1,134 @@
+"""What the balancer remembers of a worker, an attempt and a request, and the lines of held requests.
+
+Records and a container, no decisions: who is free, who goes first and what becomes of anything is decided in
+balance.py, the only user.
+"""
+
+import heapq
+import itertools
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from wickgw import interface as i
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """One worker, as this instance's own events tell of it."""
+
+    id: str
+    row: int  # its place in the matrices and in the index
+    zone: int
+    cell: int
+    since: float | None
+    warm_at: float
+    ready: bool = True
+    flying: int = 0  # own jobs in flight: x
+    load: float = 0.0  # slots that they take
+    unstarted: int = 0  # those of them that have not begun
+    before: int = 0  # flying at the last tick: x_prev
+    sent: int = 0  # accepted sends since: u
+    q: float = 1.0
+    strikes: float = 0.0
+    room: float = math.inf  # slots of ours that begin there without waiting, as far as seen
+    way: float = math.inf  # least seconds from a send to the news of its start: the network's part in a wait
+    rest_until: float = -math.inf
+    turned: bool = False  # it has called a request unusable, and served none since
+    idle: list[float] = field(default_factory=list)  # since when its open connections have been unused
+    cold_next: float = -math.inf  # no send before this while cold
+    crowd_until: float = -math.inf  # others fill it: no send before this
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt."""
+
+    worker: Worker
+    slots: float
+    sent: float
+    noted: float  # the last news of it
+    started: float | None = None
+    verdict: i.Verdict | None = None
+    moved: bool = False  # called off, to go elsewhere
+    unused: float = 0.0  # seconds for which its connection had been
+    ways: float = 1.0  # of these the network needs until its start is known
+    copied: bool = False  # another copy is out, lest this one starts late
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One unanswered request."""
+
+    id: str
+    cls: int
+    kind: i.RequestClass
+    slots: float
+    due: float  # the client's time is up
+    until: float  # no sense or no time in starting it later
+    urgency: float  # the order among equals: its aim, or its time, is up then. No estimate is in it
+    share: float  # what its worth counts for: its tenant's share, less once it is late
+    most: int  # attempts
+    attempts: list[Attempt] = field(default_factory=list)
+    late: bool = False  # too late for the full worth, held for the worth of a late answer
+    ticket: int = -1  # its place among the held; -1: not held
+
+
+Kind = tuple[int, float, float, bool]  # class, share, slots, tried before
+
+
+@dataclass(slots=True, eq=False)
+class Line:
+    """Held requests that differ in nothing but their time: first those whose time is up first, of equals the
+    elder."""
+
+    heap: list[tuple[float, int, Request]] = field(default_factory=list)
+    passed: int = 0  # how often in a row room went past its front
+
+    def front(self) -> Request | None:
+        """The first that is still held."""
+        while self.heap and self.heap[0][2].ticket != self.heap[0][1]:
+            heapq.heappop(self.heap)
+        return self.heap[0][2] if self.heap else None
+
+    def first(self, most: int) -> Iterator[Request]:
+        """The first few that are still held."""
+        return (r for _, ticket, r in heapq.nsmallest(most, self.heap) if r.ticket == ticket)
+
+
+class Held:
+    """All held requests, in a line for each kind."""
+
+    def __init__(self, classes: int) -> None:
+        self.lines: dict[Kind, Line] = {}
+        self.count = 0
+        self.slots = [0.0] * classes  # that they take, by class
+        self._tickets = itertools.count()
+
+    def __len__(self) -> int:
+        return self.count
+
+    def add(self, r: Request) -> None:
+        """It is held from now on."""
+        r.ticket = next(self._tickets)
+        self.count += 1
+        self.slots[r.cls] += r.slots
+        line = self.lines.setdefault((r.cls, r.share, r.slots, bool(r.attempts)), Line())
+        heapq.heappush(line.heap, (r.urgency, r.ticket, r))
+
+    def remove(self, r: Request) -> bool:
+        """It is held no more; whether it was."""
+        if r.ticket < 0:
+            return False
+        r.ticket = -1
+        self.count -= 1
+        self.slots[r.cls] -= r.slots
+        return True
+
+    def fronts(self) -> list[tuple[Line, Request]]:
+        """Each line and its first; lines that have run empty are forgotten."""
+        found = [(kind, line, line.front()) for kind, line in self.lines.items()]
+        for kind, _, front in found:
+            if front is None:
+                del self.lines[kind]
+        return [(line, front) for _, line, front in found if front is not None]
