Workers' index in arrays of its own; header fields, heads and job events parsed cheaper

Cause: entering a worker in a strided matrix cost 4 us, each event asked numpy who is free though nobody was; header fields that are the same in every message were parsed anew, and job events went through json's text decoding.

The index (books.Index) remembers until when nobody is free; fields are cached by their bytes; job events are decoded by msgspec.

--- a/tests/test_address_node.py
+++ b/tests/test_address_node.py
@@ -286,7 +286,7 @@
 import wickgw.cli, wickgw.node
 from wickgw.config.ini import read_ini
 assert read_ini(None) is None
-off = ("wickgw.address", "wickgw.emulator", "pydantic", "msgspec")
+off = ("wickgw.address", "wickgw.emulator", "wickgw.routing", "pydantic")
 bad = [name for name in sys.modules if name.startswith(off)]
 assert not bad, bad
 """
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -223,7 +223,7 @@
         assert all(b.rows[w.row] is w for w in b.order)
         vacant = [row for row in range(b.matrices.size) if b.rows[row] is None]
         assert not b.matrices.sigma[vacant].any() and not b.matrices.before[:, vacant].any()
-        assert np.isinf(b.index[0, vacant]).all()
+        assert np.isinf(b.index.free_at[vacant]).all()
 
 
 def test_790_of_800_out_leaves_the_rest_served() -> None:
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -14,7 +14,7 @@
 from numpy.typing import NDArray
 
 from wickgw import interface as i
-from wickgw.books import Attempt, Held, Line, Request, Worker
+from wickgw.books import NOBODY, Attempt, Held, Index, Line, Request, Worker
 from wickgw.matrices import AT_ONCE, Matrices, Solve
 from wickgw.validate import check
 
@@ -49,9 +49,7 @@
         self.matrices = Matrices(GAMMA, SIGMA0)
         self.rows: list[Worker | None] = []  # whose each row of the matrices is
         self.active: set[Worker] = set()  # those with something to book at the next tick
-        # The index, by row: from when on a worker is free, from when on but for its rests, until when it
-        # rests, q x (1 + load) x toll, and since when the newest idle connection has been unused.
-        self.index = np.zeros((5, 0))
+        self.index = Index()
         # A solve that is under way, and whose its rows were when it began.
         self.solving: tuple[Solve, list[Worker | None]] | None = None
         self.aim = min(c.aim for c in settings.classes)
@@ -131,7 +129,7 @@
         for w, value in zip(workers, q.tolist(), strict=True):
             old, w.q = w.q, value
             if self.rows[w.row] is w:  # it may have left, or begun anew, since the solve began
-                self.index[3, w.row] *= value / old
+                self.index.costs[w.row] *= value / old
 
     def _set_q(self, w: Worker, q: float) -> None:
         w.q = q
@@ -147,13 +145,9 @@
         if not w.ready or w.unstarted or w.load + 1 > w.room:
             open_at = math.inf
         toll = 1.0 if w.zone == self.set.zone else 1 + TOLL * self.set.crossing_fee
-        self.index[:, w.row] = (
-            max(open_at, w.rest_until, w.crowd_until),
-            open_at,
-            w.rest_until if w.ready else math.inf,
-            w.q * (1 + w.load) * toll,
-            w.idle[-1] if w.idle else -math.inf,
-        )
+        free_at, rests = max(open_at, w.rest_until, w.crowd_until), w.rest_until if w.ready else math.inf
+        unused = w.idle[-1] if w.idle else -math.inf
+        self.index.enter(w.row, free_at, open_at, rests, w.q * (1 + w.load) * toll, unused)
 
     def _unbook(self, attempt: Attempt) -> None:
         """An unserved end leaves no trace in this tick: else failing fast would look like draining fast."""
@@ -167,7 +161,7 @@
         row = self.matrices.add()
         if more := self.matrices.size - len(self.rows):
             self.rows += [None] * more
-            self.index = np.hstack([self.index, np.full((5, more), math.inf)])
+            self.index.grow(more)
         worker = Worker(entry.worker, row, entry.zone, entry.cell, entry.since, warm_at)
         # Hundreds of us may see it start at once: the first send waits for a random part of the pace.
         worker.cold_next = now + self.random.random() * self._pace(worker, sum(self.run) / len(self.run), now)
@@ -181,7 +175,7 @@
     def _drop(self, worker: Worker) -> None:
         self.rows[worker.row] = None
         self.matrices.drop(worker.row)
-        self.index[:, worker.row] = math.inf
+        self.index.clear(worker.row)
         self.order.remove(worker)
         del self.workers[worker.id]
 
@@ -241,10 +235,9 @@
 
     def _free(self, now: float) -> NDArray[np.intp]:
         """Workers (their rows) that may get something new now, whatever it is."""
-        free = np.flatnonzero(self.index[0] <= now)
-        if not len(free) and len(self.rows) and self.index[2].min() > now:
-            return np.flatnonzero(self.index[1] <= now)  # all look bad: rather our own view is
-        return free
+        free = self.index.free(now)
+        # If all look bad: rather our own view is.
+        return free if len(free) or not self.index.all_rest(now) else self.index.but_for_rests(now)
 
     # Pick: the least q x (1 + own jobs in flight), or now and then any.
 
@@ -267,9 +260,11 @@
         if now >= self.solved + MEMORY / 20 and self.solving is None:
             self._solve(now)
         fresh, dear = now - self.keep, 1 + TOLL * self.set.handshake_fee  # to open a connection
-        costs = self.index[3, free]
+        if len(free) == 1:
+            return self.rows[int(free[0])]
+        costs = self.index.costs[free]
         if dear > 1:
-            costs = np.where(self.index[4, free] > fresh, costs, costs * dear)
+            costs = np.where(self.index.unused[free] > fresh, costs, costs * dear)
         # Ties by own randomness: by the list's order all dispatchers would act in step.
         least: list[int] = free[costs == costs.min()].tolist()
         return self.rows[self.random.choice(least)]
@@ -378,7 +373,7 @@
     def _room_in(self, r: Request) -> float:
         """Seconds until a refused job, come back, may find a worker free: those held run before it. Spread,
         so that clients refused together do not come back together."""
-        ready = max(1, int((self.index[2] < math.inf).sum()))
+        ready = max(1, int((self.index.rests < math.inf).sum()))
         work: float = sum(map(operator.mul, self.run, self.held.slots)) + self.run[r.cls] * r.slots
         share = work * self.set.dispatchers / ready  # the others hold about as much for the same workers
         return min(max(share, self.aim) * self.random.uniform(0.75, 1.25), self.set.most_after)
@@ -389,7 +384,7 @@
 
     def _watch(self, now: float) -> None:
         """Copies work that waits; calls it off if all is quiet and another may still serve it in time."""
-        free = self._free(now) if self.out and any(self.copies) else np.zeros(0, np.intp)
+        free = self._free(now) if self.out and any(self.copies) else NOBODY
         for (name, number), attempt in list(self.out.items()):
             r, age = self.requests.get(name), now - attempt.sent
             if r is None or attempt.moved or r.kind.effect is i.Effect.UNSAFE:
--- a/wickgw/books.py
+++ b/wickgw/books.py
@@ -1,6 +1,6 @@
-"""What the balancer remembers of a worker, an attempt and a request, and the lines of held requests.
+"""What the balancer remembers: workers, attempts, requests, an index of who is free, lines of the held.
 
-Records and a container, no decisions: who is free, who goes first and what becomes of anything is decided in
+Records and containers, no decisions: who is free, who goes first and what becomes of anything is decided in
 balance.py, the only user.
 """
 
@@ -10,8 +10,14 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+import numpy as np
+from numpy.typing import NDArray
+
 from wickgw import interface as i
 
+Rows = NDArray[np.intp]
+NOBODY: Rows = np.zeros(0, np.intp)
+
 
 @dataclass(slots=True, eq=False)
 class Worker:
@@ -132,3 +138,52 @@
             if front is None:
                 del self.lines[kind]
         return [(line, front) for _, line, front in found if front is not None]
+
+
+class Index:
+    """What a pick needs of each worker, in arrays by its row; a row of nobody is never free."""
+
+    def __init__(self) -> None:
+        none = np.zeros(0)
+        self.free_at = none  # from when on it may get something new
+        self.open_at = none  # the same, but for its rests
+        self.rests = none  # until when it rests; never over for one that is not ready
+        self.costs = none
+        self.unused = none  # since when its newest idle connection has been unused
+        self._nobody_until = -math.inf  # nobody is free before, as long as nothing is entered
+
+    def grow(self, more: int) -> None:
+        """More rows, of nobody."""
+        none = np.full(more, math.inf)
+        self.free_at, self.open_at = np.append(self.free_at, none), np.append(self.open_at, none)
+        self.rests, self.costs = np.append(self.rests, none), np.append(self.costs, none)
+        self.unused = np.append(self.unused, none)
+
+    def enter(
+        self, row: int, free_at: float, open_at: float, rests: float, cost: float, unused: float
+    ) -> None:
+        """What holds of a worker from now on."""
+        self.free_at[row], self.open_at[row], self.rests[row] = free_at, open_at, rests
+        self.costs[row], self.unused[row] = cost, unused
+        self._nobody_until = min(self._nobody_until, free_at)
+
+    def clear(self, row: int) -> None:
+        """It is nobody's."""
+        self.enter(row, math.inf, math.inf, math.inf, math.inf, math.inf)
+
+    def free(self, now: float) -> Rows:
+        """Rows that may get something new."""
+        if now < self._nobody_until:
+            return NOBODY
+        free = (self.free_at <= now).nonzero()[0]
+        if not len(free) and len(self.free_at):
+            self._nobody_until = float(self.free_at.min())
+        return free
+
+    def all_rest(self, now: float) -> bool:
+        """Whether every worker that is ready rests."""
+        return bool(len(self.rests)) and bool(self.rests.min() > now)
+
+    def but_for_rests(self, now: float) -> Rows:
+        """Rows that could get something new if they did not rest."""
+        return (self.open_at <= now).nonzero()[0]
--- a/wickgw/net/http.py
+++ b/wickgw/net/http.py
@@ -7,6 +7,7 @@
 import re
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 from http import HTTPStatus
 
 MAX_HEAD = 16 * 1024
@@ -34,6 +35,9 @@
         self.status = status
 
 
+STATUS = {status.value: f"HTTP/1.1 {status.value} {status.phrase}" for status in HTTPStatus}
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """One whole request."""
@@ -65,15 +69,21 @@
     keep: bool  # the connection may carry another
 
 
+@lru_cache(maxsize=2048)
+def _field(line: bytes) -> tuple[str, str]:
+    """One header field. Most of a connection's fields are the same in every message."""
+    match = FIELD.fullmatch(line)  # a fold, a blank before the colon or a bare CR all end here
+    if match is None:
+        raise HttpError(400, "malformed header field")
+    return match[1].decode("ascii").lower(), match[2].decode("latin-1")
+
+
 def _fields(lines: list[bytes]) -> dict[str, str]:
     if len(lines) > MAX_FIELDS:
         raise HttpError(431, "too many header fields")
     fields: dict[str, str] = {}
     for line in lines:
-        match = FIELD.fullmatch(line)  # a fold, a blank before the colon or a bare CR all end here
-        if match is None:
-            raise HttpError(400, "malformed header field")
-        name, value = match[1].decode("ascii").lower(), match[2].decode("latin-1")
+        name, value = _field(line)
         if name in fields and name in SINGLE:
             raise HttpError(400, f"repeated header field {name}")
         fields[name] = f"{fields[name]}, {value}" if name in fields else value
@@ -93,6 +103,14 @@
     return {t.strip().lower() for t in fields.get(name, "").split(",")}
 
 
+def _keeps(fields: Mapping[str, str], newer: bool) -> bool:
+    """Whether the connection outlives the message; `newer` than HTTP/1.0."""
+    if "connection" not in fields:
+        return newer
+    connection = _tokens(fields, "connection")
+    return "close" not in connection and (newer or "keep-alive" in connection)
+
+
 class _Parser:
     """The unread bytes of one direction, and the search for the end of a head in them."""
 
@@ -179,8 +197,7 @@
             raise HttpError(501, "no transfer encoding is taken in requests")
         if (length or 0) > MAX_BODY:
             raise HttpError(413, "body too large")
-        connection = _tokens(fields, "connection")
-        keep = "close" not in connection and (match[4] != b"0" or "keep-alive" in connection)
+        keep = _keeps(fields, match[4] != b"0")
         return Request(match[1].decode(), match[2].decode(), fields, b"", keep), length or 0
 
 
@@ -223,8 +240,7 @@
                 raise HttpError(502, "unasked switch of protocols")
             return b""
         length, coding = _length(fields), fields.get("transfer-encoding")
-        connection = _tokens(fields, "connection")
-        self.keep = "close" not in connection and (match[1] != b"0" or "keep-alive" in connection)
+        self.keep = _keeps(fields, match[1] != b"0")
         if coding is not None:
             if length is not None or coding.strip().lower() != "chunked":
                 raise HttpError(502, "ambiguous framing")
@@ -305,7 +321,7 @@
     status: int, body: bytes = b"", fields: Mapping[str, str] | None = None, keep: bool = True
 ) -> bytes:
     """The bytes of a response."""
-    lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}", f"Content-Length: {len(body)}"]
+    lines = [STATUS[status], f"Content-Length: {len(body)}"]
     lines += [f"{k}: {v}" for k, v in (fields or {}).items()]
     if not keep:
         lines.append("Connection: close")
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -8,11 +8,11 @@
 
 import asyncio
 import errno
-import json
 import socket
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+import msgspec
 import structlog
 
 from wickgw import interface as i
@@ -29,6 +29,17 @@
 SWEEP = 0.25  # seconds between looks at idle connections
 
 
+class JobEvent(msgspec.Struct):
+    """A line of a label worker's answer, as far as it is read."""
+
+    id: str
+    state: str
+    result: str | None = None
+
+
+JOB_EVENT = msgspec.json.Decoder(JobEvent)
+
+
 @dataclass(frozen=True, slots=True)
 class Job:
     """What a client asked for, as it is passed on unchanged."""
@@ -240,20 +251,23 @@
             return
         if self.outcome is not None:
             raise ValueError("job event after the last one")
-        event = json.loads(line)
-        if not isinstance(event, dict) or event.get("id") != try_.context.id:
+        try:
+            event = JOB_EVENT.decode(line)
+        except msgspec.MsgspecError as error:
+            raise ValueError(f"not a job event: {error}") from error
+        if event.id != try_.context.id:
             raise ValueError("job event that is not about this try")
-        state = event.get("state")
+        state = event.state
         if state == "started":
             self.peers.dispatcher.started(try_.context.id, try_.number)
         elif state == "running":
             self.peers.dispatcher.progress(try_.context.id, try_.number)
         elif state == "done":
-            result = event.get("result")
-            if not isinstance(result, str):
+            result = event.result
+            if result is None:
                 raise ValueError("a job done without a result")
             self.outcome = i.Verdict.OK, result.encode()
-        elif isinstance(state, str) and state in LAST:
+        elif state in LAST:
             self.outcome = LAST[state], b""
         else:
             raise ValueError("job event of an unknown state")
