One timer for all held requests; heads of responses cached by their bytes

Cause: each held request set a timer of its own, and every response's head was parsed field by field though a peer's are the same.

held requests share one timer, for the first that can't be begun in time; a response head is looked up by its bytes (256 kept).

--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -66,6 +66,7 @@
         self.tick = self.aim / 2 if any(self.copies) else self.aim  # a copy is for half an aim's wait
         self.spare = MOST_SPARE  # further attempts left: retries must not feed a jam
         self.held = Held(len(settings.classes))
+        self.next_end = math.inf  # when the timer for the held comes
         self.run = [c.aim for c in settings.classes]  # seconds a job of the class runs, learned
         self.tokens: dict[int, tuple[float, float]] = {}  # a tenant's requests within its share, and when
         self.work_sent = 0.0  # slot-seconds sent to warm workers since the last tick
@@ -447,7 +448,13 @@
             self._answer(r)
             return
         self.held.add(r)
-        self._wake("held " + r.id, r.until - now)
+        self._wake_for_held(now)
+
+    def _wake_for_held(self, now: float) -> None:
+        """One timer, for the first that can't be begun in time any more."""
+        if (end := self.held.first_end()) < self.next_end:
+            self.next_end = end
+            self._wake("held", end - now)
 
     def _serve(self, now: float) -> None:
         """Sends what is held to free workers. Of two lines the one with more worth for its work, by what is
@@ -503,10 +510,11 @@
             self.todo.append(i.Subscribe())
         elif event.name == "solve":
             self._go_on()
-        elif event.name.startswith("held "):
-            r = self.requests.get(event.name[5:])
-            if r and self.held.remove(r):  # held again if the timer was early: a caller's clock may round
+        elif event.name == "held":
+            self.next_end = math.inf
+            for r in self.held.over(now):
                 self._hold(r, now)
+            self._wake_for_held(now)
         elif event.name == "tick":
             if any(now >= w.warm_at for w in self.order):  # in a wave of restarts the last figure holds
                 warm = len([w for w in self.order if now >= w.warm_at]) if self.work_sent else 1
--- a/wickgw/books.py
+++ b/wickgw/books.py
@@ -109,6 +109,7 @@
         self.lines: dict[Kind, Line] = {}
         self.count = 0
         self.slots = [0.0] * classes  # that they take, by class
+        self._ends: list[tuple[float, int, Request]] = []  # by when they can't be begun in time any more
         self._tickets = itertools.count()
 
     def __len__(self) -> int:
@@ -121,6 +122,7 @@
         self.slots[r.cls] += r.slots
         line = self.lines.setdefault((r.cls, r.share, r.slots, bool(r.attempts)), Line())
         heapq.heappush(line.heap, (r.urgency, r.ticket, r))
+        heapq.heappush(self._ends, (r.until, r.ticket, r))
 
     def remove(self, r: Request) -> bool:
         """It is held no more; whether it was."""
@@ -131,6 +133,21 @@
         self.slots[r.cls] -= r.slots
         return True
 
+    def first_end(self) -> float:
+        """When the first of them can't be begun in time any more."""
+        while self._ends and self._ends[0][2].ticket != self._ends[0][1]:
+            heapq.heappop(self._ends)
+        return self._ends[0][0] if self._ends else math.inf
+
+    def over(self, now: float) -> list[Request]:
+        """Those that can't; they are held no more."""
+        found = []
+        while self.first_end() <= now:
+            r = heapq.heappop(self._ends)[2]
+            self.remove(r)
+            found.append(r)
+        return found
+
     def fronts(self) -> list[tuple[Line, Request]]:
         """Each line and its first; lines that have run empty are forgotten."""
         found = [(kind, line, line.front()) for kind, line in self.lines.items()]
--- a/wickgw/cli/address.py
+++ b/wickgw/cli/address.py
@@ -3,7 +3,6 @@
 Owns arguments, what is printed, and exit codes: 0 done, 1 found wrong, 2 can't be used.
 """
 
-import http.client
 import json
 import os
 import sys
@@ -25,6 +24,8 @@
     as_json: Annotated[bool, typer.Option("--json", help="Print what it says as JSON.")] = False,
 ) -> None:
     """Say what an instance holds, knows and has counted."""
+    import http.client
+
     with told_plainly():
         where = at or os.environ.get("RELAY_LISTEN", "")
         try:
--- a/wickgw/net/http.py
+++ b/wickgw/net/http.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from functools import lru_cache
 from http import HTTPStatus
+from types import MappingProxyType
 
 MAX_HEAD = 16 * 1024
 MAX_TARGET = 2048
@@ -111,6 +112,16 @@
     return "close" not in connection and (newer or "keep-alive" in connection)
 
 
+@lru_cache(maxsize=256)
+def _response_head(raw: bytes) -> tuple[Head, bool]:
+    """A response's head, and whether it is newer than HTTP/1.0. A peer's heads are mostly the same bytes."""
+    lines = raw.split(b"\r\n")
+    match = STATUS_LINE.fullmatch(lines[0])
+    if match is None:
+        raise HttpError(502, "malformed status line")
+    return Head(int(match[2]), MappingProxyType(_fields(lines[1:]))), match[1] != b"0"
+
+
 class _Parser:
     """The unread bytes of one direction, and the search for the end of a head in them."""
 
@@ -118,7 +129,7 @@
         self.buffer = bytearray()
         self.searched = 0
 
-    def _head(self) -> list[bytes] | None:
+    def _head(self) -> bytes | None:
         end = self.buffer.find(b"\r\n\r\n", max(0, self.searched - 3))
         if (end if end >= 0 else len(self.buffer)) > MAX_HEAD:
             raise HttpError(431, "head too large")
@@ -129,7 +140,7 @@
             self.searched = len(self.buffer)
             return None
         self.searched = 0
-        return self._take(end + 4)[:end].split(b"\r\n")
+        return self._take(end + 4)[:end]
 
     def _take(self, size: int) -> bytes:
         taken = bytes(self.buffer[:size])
@@ -167,15 +178,18 @@
         if self.pending is None:
             while self.buffer[:2] == b"\r\n":  # left over after a body by careless senders
                 del self.buffer[:2]
-            lines = self._head()
-            if lines is None:
+            head = self._head()
+            if head is None:
                 return None
-            self.pending, self.length = self._read(lines)
+            self.pending, self.length = self._read(head.split(b"\r\n"))
             self.told = False
         if len(self.buffer) < self.length:
             return None
-        head, self.pending = self.pending, None
-        return Request(head.method, head.target, head.headers, self._take(self.length), head.keep)
+        request, self.pending = self.pending, None
+        if not self.length:
+            return request
+        body = self._take(self.length)
+        return Request(request.method, request.target, request.headers, body, request.keep)
 
     def _read(self, lines: list[bytes]) -> tuple[Request, int]:
         match = REQUEST_LINE.fullmatch(lines[0])
@@ -228,19 +242,17 @@
         return End(False) if self.step == self._read_until_close else None
 
     def _read_head(self) -> Head | End | bytes | None:
-        lines = self._head()
-        if lines is None:
+        raw = self._head()
+        if raw is None:
             return None
-        match = STATUS_LINE.fullmatch(lines[0])
-        if match is None:
-            raise HttpError(502, "malformed status line")
-        fields, status = _fields(lines[1:]), int(match[2])
-        if status < 200:
-            if status == 101:
+        head, newer = _response_head(raw)
+        if head.status < 200:
+            if head.status == 101:
                 raise HttpError(502, "unasked switch of protocols")
             return b""
+        fields, status = head.headers, head.status
         length, coding = _length(fields), fields.get("transfer-encoding")
-        self.keep = _keeps(fields, match[1] != b"0")
+        self.keep = _keeps(fields, newer)
         if coding is not None:
             if length is not None or coding.strip().lower() != "chunked":
                 raise HttpError(502, "ambiguous framing")
@@ -251,7 +263,7 @@
             self.left, self.step = length, self._read_length
         else:
             self.keep, self.step = False, self._read_until_close
-        return Head(status, fields)
+        return head
 
     def _read_length(self) -> bytes | End | None:
         if not self.left:
