--- a/tests/test_address_node.py
+++ b/tests/test_address_node.py
@@ -307,3 +307,33 @@
     assert status("nowhere").returncode == 2
     gone = status(f"127.0.0.1:{free_port(socket.SOCK_STREAM)}")
     assert gone.returncode == 1 and gone.stderr.count("\n") == 1
+
+
+def test_state_file_spares_a_restart_its_quiet_time_and_its_loss_is_survived(tmp_path: Path) -> None:
+    instances = Instances(tmp_path)
+    for name in instances.names:
+        ini = tmp_path / f"{name}.ini"
+        where = tmp_path / f"{name}.votes" if name != "c" else tmp_path / "none" / "votes"
+        ini.write_text(ini.read_text().replace("hold_down_s", f"state_file = {where}\nhold_down_s"))
+    try:
+        instances.start()
+        holder = instances.settled(20)
+        voter = next(name for name in "ab" if name != holder)
+        assert "state.unknown" in (tmp_path / f"{voter}.log").read_text()
+        instances.kill(voter)
+        instances.start(voter)
+        end, log = time.monotonic() + 20, tmp_path / f"{voter}.log"
+        while log.read_text().count("group.began") < 2:
+            assert time.monotonic() < end
+        lines = [line for line in log.read_text().splitlines() if "group.began" in line]
+        assert "quiet_s=1.01" in lines[0] and "quiet_s=0.0" in lines[1]
+        assert instances.holder() == holder
+        # c can't write its votes: it must say so, go on without a file, and still make a majority.
+        if holder != "c":
+            instances.kill(holder)
+            instances.holder(20, but=holder)
+        end = time.monotonic() + 20
+        while "state.failed" not in (tmp_path / "c.log").read_text():
+            assert time.monotonic() < end
+    finally:
+        instances.close()
--- a/wickgw/address/group.py
+++ b/wickgw/address/group.py
@@ -144,8 +144,9 @@
         tenure = self.tenures[event.address]
         if tenure.term != event.term or tenure.stage not in (Stage.RETIRING, Stage.CLEARING):
             return
+        took = now - tenure.since
         if tenure.turn(Turn.WITHDRAWN, now) is Stage.RETIRING:
-            self._note("lease.yielded", tenure, cause=tenure.cause, to=tenure.successor)
+            self._note("lease.yielded", tenure, cause=tenure.cause, to=tenure.successor, took_s=took)
             self._yield(tenure, tenure.successor, now)
             self.leaving[tenure.address] = (tenure.term, tenure.successor, now + self.set.bound_for)
             tenure.not_before = max(tenure.not_before, now + AFTER_LEAVING)
@@ -371,7 +372,7 @@
             member=change.member,
             cause=change.cause.value,
             was=change.old.name.lower(),
-            lasted_s=min(change.lasted, 1e9),
+            lasted_s=min(change.lasted, 1e6),
         )
 
     def _near_text(self, now: float) -> str:
