An instance that too few hear pauses longer after each lost asking, and frees the address

Group._give_up paused 50 ms only.

Ruled out: ranking it last for all, since who hears it does not know that others don't.

--- a/tests/test_address_rehearsal.py
+++ b/tests/test_address_rehearsal.py
@@ -27,6 +27,14 @@
     assert report.broken, f"{bug} went unseen"
 
 
+def test_one_that_too_few_hear_does_not_keep_the_address_from_others() -> None:
+    """A preferred instance hears a majority and is heard by few: it asked five times a second, each time
+    binding the votes of those few, and nobody served for 3.6 s. Found by the first of these seeds."""
+    for seed in (10405, 10021, 10293):
+        result = rehearse(seed)
+        assert result.scenario == "one-way" and not result.violations
+
+
 def test_seed_replays_to_the_letter() -> None:
     one, other = rehearse(23, traced=True), rehearse(23, traced=True)
     assert one.trace == other.trace and len(one.trace) > 20
--- a/wickgw/address/group.py
+++ b/wickgw/address/group.py
@@ -21,6 +21,7 @@
 STEP = 0.5  # beats by which the next in rank asks later
 PATIENCE = 1.5  # beats that a first asking may take
 BACKOFF, MOST_BACKOFF = 1.0, 30.0  # seconds without asking after the announcer failed; doubled each time
+MOST_LOST = 6  # askings lost in a row that the pause after one is doubled for
 AFTER_LEAVING = 1.0  # seconds without asking for an address that was handed over
 
 
@@ -342,6 +343,7 @@
             asked = tenure.asked[round_]
             self._note("lease.won", tenure, cause=tenure.cause, round_trip_s=now - asked)
             tenure.turn(Turn.WON, now)
+            tenure.lost = 0
             self.todo.append(e.Announce(tenure.address, tenure.term, tenure.until))
         else:
             self.todo.append(e.Extend(tenure.address, tenure.term, tenure.until))
@@ -353,7 +355,10 @@
         self._yield(tenure, "", now)
         order = self.orders.get(tenure.address, ())
         rank = order.index(self.set.me) if self.set.me in order else len(order)
-        tenure.not_before = max(tenure.not_before, now + (1 + rank) * STEP * self.set.beat)
+        # One that is heard by too few must not bind their votes again and again, lest nobody else gets them.
+        tenure.lost = min(tenure.lost + 1, MOST_LOST)
+        pause = (1 + rank) * STEP * self.set.beat * 2 ** (tenure.lost - 1)
+        tenure.not_before = max(tenure.not_before, now + pause)
         tenure.clear()
 
     def _yield(self, tenure: Tenure, to: str, now: float) -> None:
--- a/wickgw/address/tenure.py
+++ b/wickgw/address/tenure.py
@@ -77,6 +77,7 @@
     open_since: float | None = None  # since when nothing has kept us from asking but our rank
     not_before: float = float("-inf")  # no asking before this
     failures: int = 0  # of the announcer, in a row
+    lost: int = 0  # askings that were not won, in a row
     why: str = "start"  # why we are not asking, for operators
 
     def turn(self, turn: Turn, now: float) -> Stage:
