A request's normal form is made once, with the choice of its pool

Cause: Clients.route asked Pools for the pool and then for the class, and with routes on each made the normal form anew. The choice carries the class now; an unused set of the emulator is gone.

--- a/wickgw/emulator/group.py
+++ b/wickgw/emulator/group.py
@@ -64,7 +64,6 @@
         self.service = ("127.0.0.1", free_port(socket.SOCK_STREAM))
         self.own = {name: ("127.0.0.1", free_port(socket.SOCK_STREAM)) for name in self.names}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        self.stalled: set[str] = set()
         self.extra, self.service_extra, self.on = extra, service_extra, "yes" if on else "no"
         self.key = folder / "address.key"
         add_key(self.key)
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -391,7 +391,7 @@
         except NoRoute as none:
             connection.reject(400 if none.malformed else 404, str(none))
             return
-        cls, longest = self.classes.get(self.pools.job_class(request), (-1, 0.0))
+        cls, longest = self.classes.get(choice.job_class, (-1, 0.0))
         if cls < 0:
             connection.reject(404, "no such class")
             return
--- a/wickgw/net/pools.py
+++ b/wickgw/net/pools.py
@@ -107,6 +107,7 @@
     """Where a request goes, and what its route makes less of."""
 
     pool: PoolServer
+    job_class: str  # the first part of the path; of its normal form, where there are routes
     attempts: int | None = None
     time_limit: float = float("inf")
 
@@ -184,7 +185,7 @@
     def choose(self, request: http.Request) -> Choice:
         """The pool of a request. Raises NoRoute."""
         if self.table is None:
-            return Choice(self.servers[""])
+            return Choice(self.servers[""], unquote(request.path[1:].partition("/")[0]))
         asked = self.normal(request)
         taken = self.table.take(asked)
         route = taken.route
@@ -198,13 +199,7 @@
         if out:
             self.counters["routes.out"] += 1
         limit = float("inf") if route.time_limit is None else route.time_limit
-        return Choice(self.servers[name], route.attempts, limit)
-
-    def job_class(self, request: http.Request) -> str:
-        """The first part of the path; in its normal form where there are routes."""
-        if self.table is None:
-            return unquote(request.path[1:].partition("/")[0])
-        return unquote(self.normal(request).job_class)
+        return Choice(self.servers[name], unquote(asked.job_class), route.attempts, limit)
 
     def normal(self, request: http.Request) -> "Request":
         """A request as routing sees it. Raises NoRoute if it has no normal form."""
