New workers are used as they warm up; no copies or moves while jobs wait anyhow

Cause: (1) Balancer._pace waited by a cold worker's share of now. (2) _watch copied and moved lookups that had not begun, up to 6 tries each, and cancelled work is run all the same: 70 to 100 of 240 sends a second, while the mean wait grew from 0.03 to 1.7 s. Each move also struck its worker, and never-twice jobs crowded onto the 20 that were left without a strike. Change: the pace is the time in which the rising share makes up a job; copies and moves of unstarted jobs once each, and only while the mean wait is under half an aim.

--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,78 @@
+"""Decisions of one dispatcher among many: what all of them together do to the workers.
+
+Forty Balancers, fed side by side, stand for the fleet; there is no bench and no socket."""
+
+import math
+import random
+
+import pytest
+from harness import SAFE, UNSAFE, Caller
+
+from wickgw import interface as i
+
+MANY = 40
+WARM = tuple(i.Entry(f"w{k}") for k in range(24))
+COLD = tuple(f"c{k}" for k in range(36))
+
+
+def site(**changes: object) -> i.Settings:
+    base = {"classes": (SAFE, UNSAFE), "tells_start": True, "cold_from": 0.15, "warm_after": 23.0}
+    return i.Settings(**(base | {"dispatchers": MANY} | changes))  # type: ignore[arg-type]
+
+
+def fleet(settings: i.Settings, entries: tuple[i.Entry, ...], most: int = MANY) -> list[Caller]:
+    return [Caller(settings, seed, entries) for seed in range(most)]
+
+
+def serve(c: Caller, name: str, cls: int, run: float) -> str:
+    """A job that begins at once and runs so long; the worker that it went to, or none."""
+    c.arrive(name, cls)
+    tries = c.owed[name].tries
+    if not tries:
+        return ""
+    c.start(name)
+    c.wait(run)
+    c.end(name)
+    return tries[0].worker.worker
+
+
+def test_workers_that_are_new_are_used_while_they_warm_up() -> None:
+    """Each of many sends seldom. By a new worker's share at its start each would wait for longer than its
+    warming up takes, and six in ten workers, new at once, would stand idle beside the few that jam."""
+    jobs = {"early": 0.0, "middle": 0.0}
+    for c in fleet(site(), WARM, 10):
+        for n in range(20):  # what warm workers get from us is learned
+            serve(c, f"a{n}", n % 2, 0.2)
+            c.wait(0.1)
+        born = c.now
+        c.tell(*(i.Entry(name, since=born) for name in COLD))
+        for n in range(46):
+            worker = serve(c, f"b{n}", n % 2, 0.2)
+            c.wait(0.1)
+            age = c.now - born
+            jobs["early" if age < 5 else "middle"] += worker in COLD
+    # Ten of forty dispatchers, some 3 jobs a second each. The 36 may take a quarter, on average, of what
+    # the warm ones take in the first seconds, and more after.
+    assert 5 <= jobs["early"] <= 80
+    assert jobs["middle"] >= 50
+
+
+@pytest.mark.parametrize("waits, copies", [(0.001, 1), (0.1, 0)])
+def test_a_job_that_waits_is_copied_once_and_not_into_a_jam(waits: float, copies: int) -> None:
+    """A copy called off is run all the same. With each of many copying what waits, up to five times over,
+    the copies make the jam that they are meant to get around."""
+    sent = 0
+    settings = site(may_copy=True, may_cancel=True)
+    for c in fleet(settings, WARM, 10):
+        for n in range(20):
+            c.arrive(f"a{n}", 1)
+            c.wait(waits)
+            c.start(f"a{n}")
+            c.wait(0.2)
+            c.end(f"a{n}")
+        c.wait(10.0)  # whoever kept us waiting is open again
+        c.arrive("late", 0)
+        c.wait(0.2)  # no start is told
+        assert len(c.owed["late"].tries) <= 2
+        sent += len(c.owed["late"].tries) - 1
+    assert sent == copies * 10  # neither copied nor moved
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -212,10 +212,11 @@
         return 1 - (1 - self.set.cold_from) * min(1.0, (worker.warm_at - now) / self.set.warm_after)
 
     def _pace(self, worker: Worker, cost: float, now: float) -> float:
-        """Seconds that a cold worker's slot-seconds stand for: its share of what warm ones get from us keeps
-        all of us within its capacity. Nothing known: one slot among all of us."""
-        rate = self._cold_share(worker, now) * self.warm_rate
-        return cost / (rate if rate > 1e-9 else 1 / self.set.dispatchers)
+        """Seconds in which a cold worker's share, rising, of what warm ones get from us makes up a job: within
+        its capacity for all of us, and not too late for those who send seldom. Nothing known: one slot."""
+        share, rise = self._cold_share(worker, now), (1 - self.set.cold_from) / max(self.set.warm_after, 1e-9)
+        due = cost / (self.warm_rate if self.warm_rate > 1e-9 else 1 / self.set.dispatchers)
+        return 2 * due / (share + math.sqrt(share * share + 2 * rise * due))
 
     def _allowed(self, r: Request, now: float) -> Callable[[Worker], bool] | None:
         """Rule 2, the one gate of sends: which workers may get the next attempt; None: none may."""
@@ -392,11 +393,12 @@
                 continue
             late = 0 < 2.5 * self.set.progress_every < now - attempt.noted
             if attempt.started is None:
-                late = age > max(r.kind.aim + self.run[r.cls], 3 * self.wait)
-                if len(free) and age > self.aim / 2 and self.copies[r.cls] and not attempt.copied:
-                    other = self._pick(r, free, now)
-                    if other is not None:
-                        attempt.copied = True
+                # None while jobs wait anyhow, and one each: what is called off is run all the same, and with
+                # many of us the second copies and moves are the jam that they should get around.
+                quiet = self.wait < self.aim / 2 and len(r.attempts) == 1
+                late = quiet and age > max(r.kind.aim + self.run[r.cls], 3 * self.wait)
+                if quiet and len(free) and age > self.aim / 2 and self.copies[r.cls]:
+                    if other := self._pick(r, free, now):
                         self._send(r, other, now)
                         free = self._free(now)
                         continue
--- a/wickgw/books.py
+++ b/wickgw/books.py
@@ -59,7 +59,6 @@
     moved: bool = False  # called off, to go elsewhere
     unused: float = 0.0  # seconds for which its connection had been
     ways: float = 1.0  # of these the network needs until its start is known
-    copied: bool = False  # another copy is out, lest this one starts late
 
 
 @dataclass(slots=True, eq=False)
