--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,9 +2,6 @@
 
 Forty Balancers, fed side by side, stand for the fleet; there is no bench and no socket."""
 
-import math
-import random
-
 import pytest
 from harness import SAFE, UNSAFE, Caller
 
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -212,11 +212,11 @@
         return 1 - (1 - self.set.cold_from) * min(1.0, (worker.warm_at - now) / self.set.warm_after)
 
     def _pace(self, worker: Worker, cost: float, now: float) -> float:
-        """Seconds in which a cold worker's share, rising, of what warm ones get from us makes up a job: within
+        """Seconds in which a cold worker's share, rising, of what warm ones get from us makes up a job: in
         its capacity for all of us, and not too late for those who send seldom. Nothing known: one slot."""
-        share, rise = self._cold_share(worker, now), (1 - self.set.cold_from) / max(self.set.warm_after, 1e-9)
+        share, whole = self._cold_share(worker, now), max(self.set.warm_after, 1e-9)
         due = cost / (self.warm_rate if self.warm_rate > 1e-9 else 1 / self.set.dispatchers)
-        return 2 * due / (share + math.sqrt(share * share + 2 * rise * due))
+        return 2 * due / (share + math.sqrt(share * share + 2 * (1 - self.set.cold_from) / whole * due))
 
     def _allowed(self, r: Request, now: float) -> Callable[[Worker], bool] | None:
         """Rule 2, the one gate of sends: which workers may get the next attempt; None: none may."""
@@ -397,11 +397,11 @@
                 # many of us the second copies and moves are the jam that they should get around.
                 quiet = self.wait < self.aim / 2 and len(r.attempts) == 1
                 late = quiet and age > max(r.kind.aim + self.run[r.cls], 3 * self.wait)
-                if quiet and len(free) and age > self.aim / 2 and self.copies[r.cls]:
-                    if other := self._pick(r, free, now):
-                        self._send(r, other, now)
-                        free = self._free(now)
-                        continue
+                copy = quiet and age > self.aim / 2 and self.copies[r.cls]
+                if copy and len(free) and (other := self._pick(r, free, now)):
+                    self._send(r, other, now)
+                    free = self._free(now)
+                    continue
                 if late and attempt.unused > self.keep / 2:  # silent after a pause: connections die unseen
                     self.keep, attempt.unused, attempt.started = 0.7 * self.keep, 0.0, now
                     attempt.worker.unstarted -= 1  # so it does not bar the worker
