A restart asks discovery only for what changed; pauses grow with the fleet

Cause: after the release 28 of 40 dispatchers asked for whole lists at once and again within 0.05 to 2 s (Discovery.failed). Logged calls: refused at once (line full) or 503 after 2.0 s in line, none served from 17 s on, and 25 of 40 watches failed for the first 10 s too; the stale list made 470 refused connects a second. A probe that asked more seldom was served one call in 0.13 s; a whole list or a long backlog costs up to 0.45 s. Change: the first call watches from the version of the known list; the pause after a failure is as many times longer as there are dispatchers (at most 8 s); a call is left 2.5 s in line. A known version is given up at once if discovery has a lower one.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -80,12 +80,12 @@
 class Scene:
     """One dispatcher and everybody around it."""
 
-    def __init__(self, known: str = "w0", descriptors: int = 1024, **bounds: Any) -> None:
+    def __init__(self, known: str = "w0", descriptors: int = 1024, version: int = -1, **bounds: Any) -> None:
         self.servers = {n: socket.create_server(("127.0.0.1", 0)) for n in ("w0", "w1", "d", "e")}
         self.connections: dict[str, socket.socket] = {}
         self.unread: dict[str, bytes] = {}
         self.facts = facts = FACTS | {"bounds": FACTS["bounds"] | bounds}
-        listed = json.loads(self.list("1", "whole", *known.split())) if known else None
+        listed = json.loads(self.list(str(version), "whole", *known.split())) if known else None
         where = self.address("d")
         config = Config("n0", ("127.0.0.1", 0), where, 1, descriptors, 192, read_settings(facts), listed)
         self.loop = asyncio.new_event_loop()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,10 +2,14 @@
 
 Forty Balancers, fed side by side, stand for the fleet; there is no bench and no socket."""
 
+import heapq
+import random
+
 import pytest
 from harness import SAFE, UNSAFE, Caller
 
 from wickgw import interface as i
+from wickgw.net.discovery import backoff
 
 MANY = 40
 WARM = tuple(i.Entry(f"w{k}") for k in range(24))
@@ -73,3 +77,27 @@
         assert len(c.owed["late"].tries) <= 2
         sent += len(c.owed["late"].tries) - 1
     assert sent == copies * 10  # neither copied nor moved
+
+
+def test_discovery_that_is_overbooked_serves_all_in_the_end() -> None:
+    """A service of one line and fixed capacity, which works off even the calls that were given up: all of the
+    fleet ask at once, and again after each refusal. It is asked no more often than it can bear."""
+    rng, place, patience, work = random.Random(4), 16, 2.0, 0.2
+    due = [(0.01 * n, n) for n in range(MANY)]
+    failures, free_at, served = [0] * MANY, 0.0, 0.0
+    while due:
+        now, n = heapq.heappop(due)
+        if free_at - now > place * work:  # the line is full: refused at once
+            over = now + 0.04
+        else:
+            free_at = max(free_at, now) + work
+            over = min(free_at, now + patience)
+            if over == free_at:
+                served = max(served, over)
+                continue
+        failures[n] += 1
+        most = backoff(failures[n], MANY)
+        heapq.heappush(due, (over + rng.uniform(most / 2, most), n))
+        assert over < 120.0, "nobody is served any more"
+    assert served < 40.0  # 8 s of work
+    assert backoff(1, 3) == 0.1 and backoff(9, 3) == 2.0  # a small fleet asks as before
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -596,7 +596,7 @@
 
 def test_silent_watch_is_given_up_and_begun_again_where_it_was(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "WAIT", 0.05)
-    monkeypatch.setattr(discovery, "LATE", 1.5)
+    monkeypatch.setattr(discovery, "IN_LINE", 1.5)
     played(
         """
         d expect GET /api/targets HTTP
@@ -612,7 +612,8 @@
 
 
 def test_new_discovery_that_is_silent_at_first_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery, "LATE", 0.2)
+    monkeypatch.setattr(discovery, "LATE", 0.1)
+    monkeypatch.setattr(discovery, "IN_LINE", 0.1)
     played(
         """
         node reload e
@@ -627,6 +628,35 @@
     )
 
 
+def test_restart_asks_only_for_what_changed_since_the_known_list() -> None:
+    """Most of a fleet that restarts at once would overbook discovery with whole lists."""
+    played(
+        """
+        d expect GET /api/targets\\?index=7&wait=\\d+ HTTP
+        d send list 9 part w0=gone w1
+        d expect index=9&
+        a send job 1
+        w1 gets 1
+        """,
+        version=7,
+    )
+
+
+def test_known_list_newer_than_discovery_is_given_up_at_once() -> None:
+    played(
+        """
+        d expect index=70&
+        d send list 3 part w1
+        d/2 expect GET /api/targets HTTP
+        d/2 send list 3 whole w1
+        d/2 expect index=3&
+        a send job 1
+        w1 gets 1
+        """,
+        version=70,
+    )
+
+
 def test_discovery_that_began_anew_is_believed_after_a_while(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "REBUILT", 2)
     played(
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -22,12 +22,24 @@
 
 log = structlog.get_logger("wickgw")
 WAIT = 10.0  # seconds that a watch may stay silent because nothing changes
-LATE = 1.5  # seconds more until silence means that discovery, or the way to it, is down
-FIRST_BACKOFF, MOST_BACKOFF = 0.05, 2.0
+LATE = 1.5  # seconds until silence means that discovery, or the way to it, is down
+# An overbooked service serves calls in turn, the wait of a watch begins in its turn, and a call that
+# is given up costs it its work all the same: its place in the line is worth more than asking anew.
+IN_LINE = 2.5
+FIRST_BACKOFF, MOST_BACKOFF = 0.05, 2.0  # seconds, for a fleet of FEW; more callers keep as many times longer
+FEW, LONGEST_BACKOFF = 3, 8.0
 MAX_LIST = 4 << 20
 REBUILT = 5  # whole lists in a row of an older version until it is believed that discovery began anew
 
 
+def backoff(failures: int, dispatchers: int) -> float:
+    """The longest pause after so many failures in a row. All of us ask the same service, and after a release
+    or a loss all at once: what one may ask in a second gets less with the number of those who ask."""
+    callers = max(1.0, dispatchers / FEW)
+    most = min(MOST_BACKOFF * callers, LONGEST_BACKOFF)
+    return min(most, FIRST_BACKOFF * callers * 2.0 ** min(failures, 10))
+
+
 class Target(NamedTuple):
     """One worker of the list."""
 
@@ -140,9 +152,12 @@
         where: str,
         reader: ListReader,
         tell: Callable[[i.ListKind, list[Target]], None],
+        dispatchers: int = 1,
     ) -> None:
+        self.dispatchers = dispatchers
         self.loop, self.sockets, self.where, self.reader, self.tell = loop, sockets, where, reader, tell
-        self.version: int | None = None  # of the list from discovery itself
+        self.version: int | None = None  # of the list that is held
+        self.confirmed = False  # that version is from discovery itself, not from the list known at the start
         self.failures = 0
         self.older = 0  # whole lists in a row that were older than ours
         self.ask_whole = True
@@ -153,6 +168,12 @@
         )
         self.closed = False
 
+    def held(self, version: int) -> None:
+        """The list known at the start has this version: only what changed since is asked for. A whole list
+        costs an overbooked service several times as much, and after a release most of us want one."""
+        if version >= 0:
+            self.version, self.ask_whole = version, False
+
     def open(self) -> None:
         """Connect and ask. Any failure is tried again after a growing pause."""
         self._wait(LATE, self._silent)
@@ -196,10 +217,10 @@
     def _ask(self) -> None:
         assert self.connection is not None
         if self.version is None or self.ask_whole:
-            self._wait(LATE, self._silent)
+            self._wait(LATE + IN_LINE, self._silent)
             self.connection.call("/api/targets", self.where)
         else:
-            self._wait(WAIT + LATE, self._silent)
+            self._wait(WAIT + IN_LINE, self._silent)
             self.connection.call(f"/api/targets?index={self.version}&wait={int(WAIT * 1000)}", self.where)
 
     def answered(self, connection: DiscoveryConnection, body: bytes, keep: bool) -> None:
@@ -210,13 +231,13 @@
         if self.version is not None and version < self.version:
             self.older += whole
             self.ask_whole = True
-            if not whole or self.older < REBUILT:
+            if not whole or (self.confirmed and self.older < REBUILT):
                 raise ListError(f"version {version} after {self.version}")
             log.warning("discovery.anew", version=version)
         if not whole and self.version is None:
             raise ListError("changes to a list never given")
         self.failures = self.older = 0
-        self.ask_whole = False
+        self.ask_whole, self.confirmed = False, True
         if whole or targets:
             self.tell(i.ListKind.REPLACE if whole else i.ListKind.UPDATE, targets)
         self.version = version
@@ -232,7 +253,7 @@
             return
         self._lose(connection)
         self.failures += 1
-        most = min(MOST_BACKOFF, FIRST_BACKOFF * 2 ** min(self.failures, 10))
+        most = backoff(self.failures, self.dispatchers)
         if self.failures in (1, 10, 100):
             log.warning("discovery.failed", why=str(why), failures=self.failures)
         self._wait(random.uniform(most / 2, most), self.open)
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -60,7 +60,9 @@
         self.pools = Pools(config, loop, clock, self.sockets, table, zone_header)
         self.clients = Clients(loop, self.sockets, self.pools, config.settings, self.report)
         reader = ListReader(clock, config.settings.zones)
-        self.discovery = Discovery(loop, self.sockets, config.discovery, reader, self._told)
+        self.discovery = Discovery(
+            loop, self.sockets, config.discovery, reader, self._told, config.settings.dispatchers
+        )
         self.address = self._address(clock)
         self.finished: asyncio.Future[None] = loop.create_future()
         self._begin(reader)
@@ -92,7 +94,9 @@
         known: list[Target] = []
         if self.config.known is not None:
             try:
-                _, _, known = reader.decode(self.config.known)
+                version, whole, known = reader.decode(self.config.known)
+                if whole and known:
+                    self.discovery.held(version)
             except ListError as error:
                 log.warning("known.unreadable", error=str(error))
         self.pools.begin(known)
