Unknown workers count as all seen do; a cold worker may get twice its least share

Change: Matrices.pooled, over all workers, waits included, stands for a worker without data; the prior weighs by the fleet's size; PUSH = 2 on the cold pace, half of what a cold worker falls over at.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -58,6 +58,27 @@
     assert jobs["middle"] >= 50
 
 
+def test_worker_never_met_does_not_look_faster_than_those_that_were() -> None:
+    """Of many workers each of us meets each seldom. A guess by running times alone leaves their waits out,
+    and every job would go to a worker not met yet, however good those are that were."""
+    known = 0
+    for c in fleet(site(), WARM, 5):
+        for n in range(24):  # half of the workers are met, and start each job after a wait
+            c.arrive(f"a{n}", n % 2)
+            c.wait(0.1)
+            c.start(f"a{n}")
+            c.wait(0.2)
+            c.end(f"a{n}")
+            c.wait(0.3)
+        met = {t.worker.worker for o in c.owed.values() for t in o.tries}
+        new = tuple(i.Entry(f"n{k}") for k in range(24))
+        c.tell(*new)
+        for n in range(10):
+            known += serve(c, f"b{n}", n % 2, 0.2) in met
+            c.wait(1.0)
+    assert known >= 12  # of 50; they are half of the workers
+
+
 @pytest.mark.parametrize("waits, copies", [(0.001, 1), (0.1, 0)])
 def test_a_job_that_waits_is_copied_once_and_not_into_a_jam(waits: float, copies: int) -> None:
     """A copy called off is run all the same. With each of many copying what waits, up to five times over,
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -19,7 +19,7 @@
 from wickgw.validate import check
 
 GAMMA = 0.99  # discount: near 1, so that q tells speeds apart; a worker that never drains has q = 100
-SIGMA0 = 4.0  # jobs squared: weight of the prior against data
+SIGMA0 = 4.0  # jobs squared: weight of the prior against data, for QUEUE dispatchers; more see less each
 MEMORY = 20.0  # seconds after which data counts 1/e
 EXPLORE = 0.02  # share of picks made at random
 REST = 0.25  # seconds a worker rests after its first strike; doubled by each further one
@@ -27,7 +27,8 @@
 FORGIVE = 0.25  # strikes that one served job takes back: a worker that fails one in five stays out
 GROW = 0.25  # slots of room that a served job gives back
 HANDSHAKE = 4.0  # ways until the first job on a new connection has begun
-QUEUE = 3.0  # jobs that all dispatchers together let wait at one worker
+# Jobs that all of us let wait at one worker; times its least share that a cold one gets: half of what may be.
+QUEUE, PUSH = 3.0, 2.0
 TOLL = 20.0  # a crossing or new connection at a twentieth of a request's worth counts as one slot in use
 SPARE, MOST_SPARE = 0.5, 50.0  # further attempts that one request gives a right to; most that are saved up
 PIECE = 0.004  # seconds between pieces
@@ -46,7 +47,7 @@
         self.random = random.Random(seed)
         self.workers: dict[str, Worker] = {}
         self.order: list[Worker] = []
-        self.matrices = Matrices(GAMMA, SIGMA0)
+        self.matrices = Matrices(GAMMA, SIGMA0 * max(1.0, settings.dispatchers / QUEUE))
         self.rows: list[Worker | None] = []  # whose each row of the matrices is
         self.active: set[Worker] = set()  # those with something to book at the next tick
         self.index = Index()
@@ -95,7 +96,8 @@
 
     def _solve(self, now: float) -> None:
         """q from the matrices. A worker little known counts as all do: thought idle, it would draw us all."""
-        self.solved, self.kept = now, math.exp(-self.tick * len(self.run) / sum(self.run))
+        self.solved = now
+        self.kept = self.matrices.pooled(math.exp(-self.tick * len(self.run) / sum(self.run)))
         known = self.matrices.data()
         workers = [w for row in known if (w := self.rows[row]) is not None]
         for w in set(self.order).difference(workers) if len(known) < len(self.order) else ():
@@ -124,8 +126,7 @@
         self._take_q([w for w in workers if w is not None], q[rows])
 
     def _take_q(self, workers: list[Worker], q: NDArray[Any]) -> None:
-        """The last q stays if this one is nonsense."""
-        if not len(q) or not np.isfinite(q).all() or q.min() <= 0:
+        if not len(q) or not np.isfinite(q).all() or q.min() <= 0:  # nonsense: the last q stays
             return
         for w, value in zip(workers, q.tolist(), strict=True):
             old, w.q = w.q, value
@@ -215,7 +216,7 @@
         """Seconds in which a cold worker's share, rising, of what warm ones get from us makes up a job: in
         its capacity for all of us, and not too late for those who send seldom. Nothing known: one slot."""
         share, whole = self._cold_share(worker, now), max(self.set.warm_after, 1e-9)
-        due = cost / (self.warm_rate if self.warm_rate > 1e-9 else 1 / self.set.dispatchers)
+        due = cost / (PUSH * self.warm_rate if self.warm_rate > 1e-9 else 1 / self.set.dispatchers)
         return 2 * due / (share + math.sqrt(share * share + 2 * (1 - self.set.cold_from) / whole * due))
 
     def _allowed(self, r: Request, now: float) -> Callable[[Worker], bool] | None:
@@ -262,8 +263,6 @@
         if now >= self.solved + MEMORY / 20 and self.solving is None:
             self._solve(now)
         fresh, dear = now - self.keep, 1 + TOLL * self.set.handshake_fee  # to open a connection
-        if len(free) == 1:
-            return self.rows[int(free[0])]
         costs = self.index.costs[free]
         if dear > 1:
             costs = np.where(self.index.unused[free] > fresh, costs, costs * dear)
--- a/wickgw/matrices.py
+++ b/wickgw/matrices.py
@@ -29,6 +29,7 @@
         self.gamma, self.prior = gamma, prior
         self.sigma = self.sigma_bar_t = np.zeros((0, 0))
         self.weight = 1.0
+        self.seen = self.stayed = 0.0  # x_prev squared, and x - u times x_prev, of all workers together
         self.left: list[int] = []  # rows of nobody
         self.busy = False  # a large solve copies the system: its scale must not change
         self.spare = np.zeros((0, 0))  # the memory of the last large system, for the next
@@ -67,6 +68,9 @@
             if self.busy:  # a solve is under way and has begun to add what was noted: this tick is left out
                 return
             self.fold()
+        stay = dict(zip(used, kept, strict=True))
+        self.seen += self.weight * sum(x * x for x in before)
+        self.stayed += self.weight * sum(x * stay.get(row, 0.0) for row, x in zip(rows, before, strict=True))
         self.scale[self.noted] = self.weight
         self.before[self.noted, rows] = before
         self.kept[self.noted, used] = kept
@@ -99,7 +103,13 @@
         if self.weight > 1e9 and not self.busy:
             for array in (self.sigma, self.sigma_bar_t, self.scale):
                 array /= self.weight
-            self.weight = 1.0
+            self.seen, self.stayed, self.weight = self.seen / self.weight, self.stayed / self.weight, 1.0
+
+    def pooled(self, guess: float) -> float:
+        """What workers keep of their jobs in a tick, over all that was seen: the waits at them are in it,
+        which a guess by running times alone leaves out."""
+        prior = self.prior * self.weight
+        return min(1.0, max(0.0, (prior * guess + self.stayed) / (prior + self.seen)))
 
     def data(self) -> list[int]:
         """The rows with data. Any other stands for itself: its q is 1 / (1 - gamma kept)."""
