Discovery starts without a mark that its version tells; docs claim only what was measured

Need: a second reading. ask_whole began as True beside a version of None, which says the same, and Discovery.held had to undo it; the count of dispatchers had a default that nobody used. Behaviour is as before. Long lines wrapped. Looked at and left: Matrices.seen and stayed repeat traces of the matrices, but those are half folded while a large solve runs, and forget workers that left; two scenes of test_net.py alike in shape are scenes, not logic.

--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -152,15 +152,15 @@
         where: str,
         reader: ListReader,
         tell: Callable[[i.ListKind, list[Target]], None],
-        dispatchers: int = 1,
+        dispatchers: int,
     ) -> None:
-        self.dispatchers = dispatchers
         self.loop, self.sockets, self.where, self.reader, self.tell = loop, sockets, where, reader, tell
+        self.dispatchers = dispatchers
         self.version: int | None = None  # of the list that is held
         self.confirmed = False  # that version is from discovery itself, not from the list known at the start
         self.failures = 0
         self.older = 0  # whole lists in a row that were older than ours
-        self.ask_whole = True
+        self.ask_whole = False  # though a version is held: it is not to be built on
         self.connection: DiscoveryConnection | None = None
         self.opening: socket.socket | None = None
         self.timer: asyncio.TimerHandle | None = (
@@ -169,10 +169,10 @@
         self.closed = False
 
     def held(self, version: int) -> None:
-        """The list known at the start has this version: only what changed since is asked for. A whole list
-        costs an overbooked service several times as much, and after a release most of us want one."""
+        """The list known at the start has this version (below 0: none): only what changed since is asked for.
+        A long answer costs an overbooked service more, and after a release most of us want one."""
         if version >= 0:
-            self.version, self.ask_whole = version, False
+            self.version = version
 
     def open(self) -> None:
         """Connect and ask. Any failure is tried again after a growing pause."""
