The state file's test waits for a vote to be kept before it kills the voter

Change: the test waits, at most 20 s, until the voter's file is there. Its assertions are the same. Ruled out: the program, which did what it says.

--- a/tests/test_address_node.py
+++ b/tests/test_address_node.py
@@ -320,6 +320,10 @@
         holder = instances.settled(20)
         voter = next(name for name in "ab" if name != holder)
         assert "state.unknown" in (tmp_path / f"{voter}.log").read_text()
+        # The other two are a majority: this one may have been quiet still, and have nothing to find again.
+        end = time.monotonic() + 20
+        while not (tmp_path / f"{voter}.votes").exists():
+            assert time.monotonic() < end
         instances.kill(voter)
         instances.start(voter)
         end, log = time.monotonic() + 20, tmp_path / f"{voter}.log"
