Second address for operators' calls; the platform's passed socket is served, not bound

PAUSE says no on /-/ready, ends each connection after its next answer and closes idle ones 2 s later; the listener stays. Not taken: a thread with blocking sockets for the calls, which would answer under any load of the loop but is a second way of doing I/O beside the loop's, and would need locks on the node's state; and answering calls on the clients' port, which the front can't reach for calls.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,8 +1,8 @@
 """A small language for scenes on real loopback sockets: a running dispatcher, and clients, peers and
 discovery played by hand. A scene is lines of `WHO VERB ...`; ` #` begins a remark. WHO is a client connection
 (`a`, `b`, ..., opened when first named), a connection that the dispatcher opens to a peer (`w0` the first,
-`w0/2` the second; `p` to whichever peer is chosen) or to discovery (`d`, `d/2`; `e` after a move there), or
-`node`, the dispatcher.
+`w0/2` the second; `p` to whichever peer is chosen) or to discovery (`d`, `d/2`; `e` after a move there), a
+caller of the second address (`m`, `m2`, ..., where the scene has one), or `node`, the dispatcher.
 
     send MESSAGE ...     a message of MESSAGES below, or  send raw "text", where ~ ends a line as HTTP does
     open                 a client connects and says nothing
@@ -80,14 +80,24 @@
 class Scene:
     """One dispatcher and everybody around it."""
 
-    def __init__(self, known: str = "w0", descriptors: int = 1024, version: int = -1, **bounds: Any) -> None:
+    def __init__(
+        self,
+        known: str = "w0",
+        descriptors: int = 1024,
+        version: int = -1,
+        mgmt: bool = False,
+        passed: int | None = None,
+        **bounds: Any,
+    ) -> None:
         self.servers = {n: socket.create_server(("127.0.0.1", 0)) for n in ("w0", "w1", "d", "e")}
         self.connections: dict[str, socket.socket] = {}
         self.unread: dict[str, bytes] = {}
         self.facts = facts = FACTS | {"bounds": FACTS["bounds"] | bounds}
         listed = json.loads(self.list(str(version), "whole", *known.split())) if known else None
         where = self.address("d")
-        config = Config("n0", ("127.0.0.1", 0), where, 1, descriptors, 192, read_settings(facts), listed)
+        at = ("127.0.0.1", 0) if mgmt else None
+        settings = read_settings(facts)
+        config = Config("n0", ("127.0.0.1", 0), where, 1, descriptors, 192, settings, listed, at, passed)
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
@@ -128,6 +138,8 @@
                 ready, _, _ = select.select(servers, (), (), PATIENCE)
                 assert ready, "no connection came"
                 connection, _ = ready[0].accept()
+            elif name.startswith("m") and self.node.mgmt is not None:  # a caller of the second address
+                connection = socket.create_connection(self.node.mgmt.where, PATIENCE)
             else:
                 connection = socket.create_connection(self.where, PATIENCE)
             connection.settimeout(PATIENCE)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -723,7 +723,7 @@
         sockets = Sockets(loop, 1024, 192)
         with socket.socket() as client, socket.socket() as peer:
             for _ in range(20):
-                sockets.adopt(client, Connection(), accepted=True)
+                sockets.adopt(client, Connection(), side="clients")
             sockets.adopt(peer, Connection())
             for _ in range(5):
                 await asyncio.sleep(0)
--- a/wickgw/config/relay.py
+++ b/wickgw/config/relay.py
@@ -6,6 +6,7 @@
 
 import json
 import math
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -17,6 +18,7 @@
 from wickgw.net.sockets import address
 
 FEWEST_DESCRIPTORS = 32
+PASSED = "RELAY_PASSED_SOCKET"
 
 
 class ConfigError(Exception):
@@ -35,6 +37,9 @@
     memory_mb: float
     settings: i.Settings
     known: Any  # the list as it was held last, in discovery's form; None if there was none
+    mgmt: tuple[str, int] | None = None  # the second address, for the calls of operators
+    passed: int | None = None  # the descriptor of a listening socket that the platform holds for clients
+    path: str = "RELAY_CONFIG"  # the file it was read from, to be named in errors
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
@@ -77,4 +82,40 @@
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         what = f"{error} is missing" if isinstance(error, KeyError) else str(error)
         raise ConfigError(f"{path}: {what}") from error
-    return Config(name, where, discovery, seed, descriptors, memory, settings, raw.get("known"))
+    # Like name and listen, the environment's first: an upgrade's second process is given its own there.
+    mgmt, at = environ.get("RELAY_MGMT") or raw.get("mgmt"), None
+    if mgmt is not None and mgmt != "":
+        try:
+            if not isinstance(mgmt, str):
+                raise ValueError(f"not an address: {mgmt!r}")
+            at = address(mgmt)
+        except ValueError as error:
+            raise ConfigError(
+                f"{path}: mgmt (or RELAY_MGMT): {error}; HOST:PORT of IPv4 is allowed"
+            ) from error
+    passed = passed_socket(environ.get(PASSED))
+    return Config(
+        name, where, discovery, seed, descriptors, memory, settings, raw.get("known"), at, passed, path
+    )
+
+
+def passed_socket(told: str | None) -> int | None:
+    """The descriptor that $RELAY_PASSED_SOCKET names, once it is seen to be a listening TCP socket. The
+    socket is only looked at: it is the platform's, and held by other processes too. Raises ConfigError."""
+    if told is None or not told.strip():
+        return None
+    allowed = "the number of an open, listening TCP socket is allowed"
+    if not told.strip().isdigit():
+        raise ConfigError(f"{PASSED}: {told!r}; {allowed}")
+    number = int(told)
+    try:
+        # fromfd makes a copy, so that looking closes nothing of the platform's.
+        with socket.fromfd(number, socket.AF_INET, socket.SOCK_STREAM) as sock:
+            kind = sock.getsockopt(socket.SOL_SOCKET, socket.SO_TYPE)
+            listening = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+            family = sock.getsockopt(socket.SOL_SOCKET, socket.SO_DOMAIN)
+    except OSError as error:
+        raise ConfigError(f"{PASSED}: {number}: {error.strerror}; {allowed}") from error
+    if kind != socket.SOCK_STREAM or family != socket.AF_INET or not listening:
+        raise ConfigError(f"{PASSED}: {number} is not a listening TCP socket; {allowed}")
+    return number
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -34,6 +34,11 @@
 # Whoever connects is owed an error or a close within 3 s; usual clients send a whole request at once.
 PATIENCE = 2.0  # seconds that a request may take to come in, and a connection without a job may be silent
 LINGER = 2.0  # seconds for a client to read its last answer before the connection is dropped
+# Seconds that idle connections are kept once clients are sent away. The front sends no new connections 0.2 s
+# after it hears no, and clients go on using those they have: each of those is closed after its next answer.
+# Closing one that is idle races with a request on its way, so that waits until most have been used; by 4 s
+# none may be held.
+AWAY_GRACE = 2.0
 UNREAD = 15.0  # the same while some of the answer is still here
 WHOLE_ANSWER = 256 * 1024  # bytes: the largest answer, its head, and as much again for the kernel
 LOOKS = 16  # connections looked at to make room for one
@@ -133,7 +138,7 @@
         """Write an answer, and end the connection if it is the last."""
         if self.transport is None or self.transport.is_closing():
             return
-        keep = self.keep and not self.clients.draining
+        keep = self.keep and not self.clients.draining and self.clients.away is None
         if self.gate is not None:
             if not self.gate.may_answer():  # the address is another's by now: so is its client
                 self.fence()
@@ -200,11 +205,23 @@
 class Listener:
     """A listening socket, open until it is closed. Neither an error nor a lack of descriptors ends it."""
 
-    def __init__(self, clients: "Clients", where: tuple[str, int], gate: Gate | None = None) -> None:
+    def __init__(
+        self, clients: "Clients", where: tuple[str, int], gate: Gate | None = None, passed: int | None = None
+    ) -> None:
         self.clients, self.gate = clients, gate
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._resume: asyncio.TimerHandle | None = None  # while not accepting
         self.closed = False
+        # A socket that the platform holds is shared with the process before or after this one: it is never
+        # bound, and closing it here closes only this process's descriptor, so that the queue of connections
+        # that wait in it stays whole for the other.
+        self.shared = passed is not None
+        if passed is not None:
+            self.sock = socket.socket(fileno=passed)
+            self.sock.setblocking(False)
+            self.where: tuple[str, int] = self.sock.getsockname()
+            clients.loop.add_reader(self.sock.fileno(), self._accept)
+            return
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         try:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             if gate is not None:
@@ -215,7 +232,7 @@
         except OSError:
             self.sock.close()
             raise
-        self.where: tuple[str, int] = self.sock.getsockname()
+        self.where = self.sock.getsockname()
         clients.loop.add_reader(self.sock.fileno(), self._accept)
 
     def _accept(self, last: bool = False) -> None:
@@ -261,10 +278,11 @@
         self._accept()
 
     def close(self, last: bool = True) -> None:
-        """Take what has connected already, unless it may not be, then accept no more."""
+        """Take what has connected already, unless it may not be, then accept no more. What waits in a shared
+        socket is left to the other process that holds it."""
         if self.closed:
             return
-        if last:
+        if last and not self.shared:
             self._accept(last=True)
         self.closed = True
         if self._resume is not None:
@@ -301,17 +319,24 @@
         self.ready = False  # a list is held
         self.leaving = False  # the process is about to end: clients should go elsewhere
         self.draining = False  # and takes nothing more: every answer is its connection's last
+        self.away: float | None = None  # since when clients are sent away, while the process serves on
         self.listener: Listener | None = None
         self.address_status: Callable[[], dict[str, object]] | None = None  # if addresses move here
         self._sweeper = loop.call_later(SWEEP, self._sweep)
 
     # Listening.
 
-    def listen(self, where: tuple[str, int]) -> tuple[str, int]:
-        """Begin to accept; returns the address, as port 0 leaves the choice to the system."""
-        self.listener = Listener(self, where)
+    def listen(self, where: tuple[str, int], passed: int | None = None) -> tuple[str, int]:
+        """Begin to accept, on the socket passed if there is one; returns the address, as port 0 leaves the
+        choice to the system."""
+        self.listener = Listener(self, where, passed=passed)
         return self.listener.where
 
+    @property
+    def shared(self) -> bool:
+        """Clients come by a socket that another process may accept from as well."""
+        return self.listener is not None and self.listener.shared
+
     def make_room(self) -> bool:
         """Close a connection that owes nothing. A client between requests opens another, so it is asked last:
         hundreds that say nothing must not close it out. One whose request lies unread is not closed."""
@@ -333,7 +358,7 @@
         self.connections.add(connection)
         self.waits(connection)  # not at rest until it is opened, so it is not closed unseen
         self.counters["connections"] += 1
-        self.sockets.adopt(sock, connection, accepted=True)
+        self.sockets.adopt(sock, connection, side="clients")
 
     def _drop(self, connection: ClientConnection) -> None:
         self.forget(connection)
@@ -361,6 +386,8 @@
         answers that are never read. A client that has brought a job may be idle for as long as it likes."""
         self._sweeper = self.loop.call_later(SWEEP, self._sweep)
         now = self.loop.time()
+        if self.away is not None and now - self.away >= AWAY_GRACE:
+            self.close_idle()
         for connection in list(self.connections):
             waited = now - connection.since
             if connection.ending:
@@ -430,8 +457,9 @@
                 connection.reject(404, "no service addresses are set up here")
             else:
                 connection.write(200, (json.dumps(self.address_status()) + "\n").encode(), JSON)
-        elif path == "/-/ready" and (self.leaving or not self.ready):
-            connection.write(503, b"draining\n" if self.leaving else b"no list yet\n", TEXT)
+        elif path == "/-/ready" and (self.leaving or self.away is not None or not self.ready):
+            why = b"no list yet\n" if not self.ready else b"paused\n" if not self.leaving else b"draining\n"
+            connection.write(503, why, TEXT)
         else:
             connection.write(200, b"ok\n", TEXT)
 
@@ -466,6 +494,15 @@
         """Say that this dispatcher is not ready any more, and go on serving."""
         self.leaving = True
 
+    def send_away(self) -> None:
+        """Say no to the front, and end every connection after its next answer; the listener stays."""
+        if self.away is None:
+            self.away = self.loop.time()
+
+    def take_again(self) -> None:
+        """Say yes to the front again, and keep connections open."""
+        self.away = None
+
     def drain(self) -> None:
         """Every answer is its connection's last from now on, and no more connections are accepted."""
         self.draining = True
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -17,6 +17,8 @@
 RESERVE = 24  # descriptors for the listener, discovery, the loop itself, logs and imports
 BASE_MB = 36  # what the process holds without a connection, 28 as measured, and some
 OPENERS = 4  # tasks for each side: opening one takes some turns of the loop, and others wait behind it
+# Clients, peers and discovery, and operators' calls: a flood on one side must not delay another.
+SIDES = {"clients": OPENERS, "peers": OPENERS, "mgmt": 1}
 FOR_CLIENTS = 0.6  # of the other descriptors: usual clients hold a third of all, the rest is room for others
 # A read is finished before the loop turns to the next one, so all connections can share one buffer.
 _SCRATCH = memoryview(bytearray(32 * 1024))
@@ -99,17 +101,19 @@
         self.limit(descriptors, memory_mb)
         self.opening = 0  # sockets that have no transport yet
         self.sides: list[PeerConnections] = []  # one for each pool
-        # A flood of clients must not delay a try or discovery: each side has tasks of its own.
-        self._connected = {side: asyncio.Queue[tuple[socket.socket, Connection]]() for side in (True, False)}
+        # A flood of clients must not delay a try, discovery or a call: each side has tasks of its own.
+        self._connected = {side: asyncio.Queue[tuple[socket.socket, Connection]]() for side in SIDES}
         self._tasks = [
-            loop.create_task(self._open(queue)) for queue in self._connected.values() for _ in range(OPENERS)
+            loop.create_task(self._open(self._connected[side])) for side, n in SIDES.items() for _ in range(n)
         ]
 
     def limit(self, descriptors: int, memory_mb: float) -> None:
         """Share out what the process may hold. Connections beyond a lower limit are not closed for it."""
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         most = descriptors if soft == resource.RLIM_INFINITY else min(descriptors, soft)
-        free = most - min(RESERVE, most // 3)
+        # Operators' callers: few, and those that say nothing are let go within a second or two.
+        self.for_calls = max(4, min(16, most // 32))
+        free = most - min(RESERVE, most // 3) - self.for_calls
         clients, peers = free * FOR_CLIENTS, free * (1 - FOR_CLIENTS)
         fit = min(1.0, (memory_mb - BASE_MB) * 1e6 / (clients * _CLIENT + peers * _PEER))
         self.for_clients, self.for_peers = max(8, int(clients * fit)), max(8, int(peers * fit))
@@ -121,11 +125,11 @@
         kept = (max(share, len(o.connections)) for o in self.sides if o is not side)
         return self.for_peers - sum(kept) - len(side.connections)
 
-    def adopt(self, sock: socket.socket, connection: Connection, accepted: bool = False) -> None:
+    def adopt(self, sock: socket.socket, connection: Connection, side: str = "peers") -> None:
         """Give a connected socket to its connection; the transport owns the descriptor from then on."""
         self.opening += 1
         connection.sock = sock
-        self._connected[accepted].put_nowait((sock, connection))
+        self._connected[side].put_nowait((sock, connection))
 
     async def _open(self, queue: asyncio.Queue[tuple[socket.socket, Connection]]) -> None:
         while True:
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -22,9 +22,11 @@
 from wickgw.net.clients import Clients
 from wickgw.net.discovery import Discovery, ListError, ListReader, Target
 from wickgw.net.dispatch import Clock, Dispatcher
+from wickgw.net.mgmt import Mgmt
 from wickgw.net.pools import Pools
 from wickgw.net.sockets import Sockets
 from wickgw.observe.log import set_up_log
+from wickgw.service.calls import Call
 
 if TYPE_CHECKING:
     from wickgw.address.driver import Driver
@@ -64,6 +66,8 @@
             loop, self.sockets, config.discovery, reader, self._told, config.settings.dispatchers
         )
         self.address = self._address(clock)
+        self.mgmt: Mgmt | None = None  # the second address, once listened at
+        self.stopping = False  # SIGTERM has come
         self.finished: asyncio.Future[None] = loop.create_future()
         self._begin(reader)
 
@@ -103,8 +107,18 @@
         self.clients.ready = bool(known)
 
     def start(self) -> tuple[str, int]:
-        """Listen, and ask for the list; returns the address listened at."""
-        where = self.clients.listen(self.config.listen)
+        """Listen, and ask for the list; returns the address listened at. Raises ConfigError or OSError."""
+        if self.config.mgmt is not None:
+            # Before clients: a process that can't take calls ends before it has taken anybody's job.
+            host, port = self.config.mgmt
+            try:
+                self.mgmt = Mgmt(self.loop, self.sockets, self.config.mgmt, self.carry)
+            except OSError as error:
+                raise ConfigError(
+                    f"{self.config.path}: mgmt (or RELAY_MGMT): can't listen at {host}:{port}: "
+                    f"{error.strerror}; a free address of this host is allowed"
+                ) from error
+        where = self.clients.listen(self.config.listen, self.config.passed)
         self.discovery.open()
         if self.address is not None:
             self.address.start()
@@ -170,10 +184,26 @@
         if (new.log if new else None) != (old.log if old else None):
             configure_log(new, verbose)
 
+    def carry(self, call: Call) -> tuple[bool, str]:
+        """An operator's call on the second address: whether it holds, and a few words."""
+        if self.stopping:
+            return False, "stopping"
+        if call is Call.PAUSE:
+            log.info("node.paused")
+            self.clients.send_away()
+        elif call is Call.RESUME:
+            if self.clients.away is not None:
+                log.info("node.resumed")
+            self.clients.take_again()
+        if not self.clients.ready:
+            return call is not Call.STATUS, "starting: no list yet"
+        return True, "paused" if self.clients.away is not None else "serving"
+
     def drain(self) -> None:
         """Begin to end: clients are served on for a while, then what was taken is answered."""
         if self.clients.leaving:
             return
+        self.stopping = True
         log.info("node.draining")
         self.clients.leave()
         if self.address is not None:
@@ -182,6 +212,12 @@
         self.pools.stop(within)
         # An answer that its client does not read must not keep the process until it is killed.
         self.loop.call_later(within + 0.1, self._finish)
+        if self.clients.shared:
+            # In an upgrade the successor already accepts from the same socket, and said so before this
+            # SIGTERM: clients that come from now on are its, and every answer here is its connection's last.
+            self.clients.drain()
+            self.loop.call_later(SETTLE, self._quiet)
+            return
         turn = self.loop.time() + max(ACCEPT_ON, within - WIND_DOWN)
         self.loop.call_later(ACCEPT_ON, self._wind_down, turn)
 
@@ -212,6 +248,8 @@
 
     def close(self) -> None:
         """Give everything back."""
+        if self.mgmt is not None:
+            self.mgmt.close()
         if self.address is not None:
             self.address.close()
         self.discovery.close()
