Request bodies in chunks are taken and passed on whole

Change: RequestParser decodes chunked bodies (size lines of at most 256 bytes, the body within 64 KiB as before, trailers within the head's bound and not passed on); the worker gets the body with its length. Other codings stay 501; both framings at once stay 400.

--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -156,7 +156,10 @@
             if self.paused:
                 self.paused = False
                 self.transport.resume_reading()
-            self.transport.write_eof()
+            try:
+                self.transport.write_eof()
+            except OSError:  # the client is gone already: there is nobody left to tell
+                self.abort()
 
     def fence(self) -> None:
         """End it without a word: whatever it could still say is no longer ours to say."""
--- a/wickgw/net/http.py
+++ b/wickgw/net/http.py
@@ -156,6 +156,11 @@
         self.pending: Request | None = None  # its head is in, its body isn't
         self.length = 0
         self.told = False  # whoever asked for 100 Continue has been told
+        # A body in chunks: what of it is decoded, the bytes of the chunk in hand (None: a size line is next;
+        # -1: the trailers are next), while `pending` says whether the body is chunked at all.
+        self.chunked = False
+        self.body = bytearray()
+        self.left: int | None = None
 
     def feed(self, data: bytes) -> None:
         """Add bytes as they came."""
@@ -168,7 +173,9 @@
 
     def wants_continue(self) -> bool:
         """True once for a request whose sender waits for 100 Continue before its body."""
-        if self.pending is None or self.told or len(self.buffer) >= self.length:
+        if self.pending is None or self.told:
+            return False
+        if (self.buffer or self.body) if self.chunked else len(self.buffer) >= self.length:
             return False
         self.told = "100-continue" in _tokens(self.pending.headers, "expect")
         return self.told
@@ -183,6 +190,13 @@
                 return None
             self.pending, self.length = self._read(head.split(b"\r\n"))
             self.told = False
+            self.chunked = self.length < 0
+        if self.chunked:
+            if not self._chunks():
+                return None
+            request, self.pending, self.chunked = self.pending, None, False
+            body, self.body = bytes(self.body), bytearray()
+            return Request(request.method, request.target, request.headers, body, request.keep)
         if len(self.buffer) < self.length:
             return None
         request, self.pending = self.pending, None
@@ -208,12 +222,49 @@
         if "transfer-encoding" in fields:
             if length is not None:  # the classic way to smuggle a second request past a proxy
                 raise HttpError(400, "both Transfer-Encoding and Content-Length")
-            raise HttpError(501, "no transfer encoding is taken in requests")
+            if fields["transfer-encoding"].strip().lower() != "chunked":
+                raise HttpError(501, "no transfer encoding but chunked is taken in requests")
+            length = -1
         if (length or 0) > MAX_BODY:
             raise HttpError(413, "body too large")
         keep = _keeps(fields, match[4] != b"0")
         return Request(match[1].decode(), match[2].decode(), fields, b"", keep), length or 0
 
+    def _chunks(self) -> bool:
+        """Decode what is in of a chunked body; whether it is whole. Raises HttpError."""
+        while True:
+            if self.left is None:  # a size line
+                end = self.buffer.find(b"\r\n", 0, MAX_CHUNK_LINE + 2)
+                if end < 0:
+                    if len(self.buffer) > MAX_CHUNK_LINE:
+                        raise HttpError(400, "chunk size line too long")
+                    return False
+                match = CHUNK_LINE.fullmatch(self.buffer, 0, end)
+                if match is None:
+                    raise HttpError(400, "malformed chunk size")
+                size = int(match[1], 16)
+                if len(self.body) + size > MAX_BODY:
+                    raise HttpError(413, "body too large")
+                del self.buffer[: end + 2]
+                self.left = size if size else -1
+            elif self.left >= 0:  # the bytes of a chunk and the line's end after them
+                if len(self.buffer) < self.left + 2:
+                    return False
+                if self.buffer[self.left : self.left + 2] != b"\r\n":
+                    raise HttpError(400, "chunk without its line end")
+                self.body += self.buffer[: self.left]
+                del self.buffer[: self.left + 2]
+                self.left = None
+            else:  # trailers, which are not passed on, and the empty line that ends them
+                end = 0 if self.buffer[:2] == b"\r\n" else self.buffer.find(b"\r\n\r\n")
+                if end < 0:
+                    if len(self.buffer) > MAX_HEAD:
+                        raise HttpError(431, "trailers too large")
+                    return False
+                del self.buffer[: end + (2 if end == 0 else 4)]
+                self.left = None
+                return True
+
 
 class ResponseParser(_Parser):
     """Responses out of bytes: `feed` yields a Head, pieces of body as they come, and an End."""
