Connections are budgeted by what they hold, not all at their bounds

Sockets.limit budgeted every connection with all its buffers full (176 KB a client, 180 KB a peer) beside a base of 36 MB, which left 4 MB: 13 client and 9 peer connections. Measured: a client connection with half a head costs about 3 KB in the process. Change: a connection is budgeted by what it holds anyhow and a sixth of its bounds (27 KB a client, 31 KB a peer). Not taken: the base measured at start from the process's own size; it would differ from start to start.

--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -22,10 +22,14 @@
 FOR_CLIENTS = 0.6  # of the other descriptors: usual clients hold a third of all, the rest is room for others
 # A read is finished before the loop turns to the next one, so all connections can share one buffer.
 _SCRATCH = memoryview(bytearray(32 * 1024))
-# The most that a connection holds: a head, a body and a read on top on the side of a client, whose answer is
-# written; a request on its way out, a line of a response and a read on top on the side of a peer.
-_CLIENT = 16 * 1024 + 64 * 1024 + len(_SCRATCH) + 64 * 1024
-_PEER = 80 * 1024 + 68 * 1024 + len(_SCRATCH)
+# What a connection costs, as budgeted: its objects (about 3 KB for a client connection, measured) and a
+# share of the buffers that it holds at their bounds (a head, a body and an answer of a client, 144 KB; a
+# request on its way out and a response's line, 148 KB, for a peer; the buffer that all reads go through is
+# shared). Most connections hold nothing between messages, and no more than one in six holds its bounds at
+# once. Budgeting every one at its bounds left 9 peer connections of 40 MB, so that requests waited 1.8 s
+# for a first try.
+_CLIENT = 3 * 1024 + (16 * 1024 + 64 * 1024 + 64 * 1024) // 6
+_PEER = 6 * 1024 + (80 * 1024 + 68 * 1024) // 6
 
 
 class Connection(asyncio.BufferedProtocol):
