--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -24,7 +24,7 @@
 from wickgw.net.dispatch import Answer, AnswerKind, RequestContext
 from wickgw.net.peers import Job
 from wickgw.net.pools import NoRoute, Pools
-from wickgw.net.sockets import Connection, Sockets
+from wickgw.net.sockets import Connection, Sockets, listening
 
 log = structlog.get_logger("wickgw")
 ALLOWANCE = 0.015  # seconds of a client's time left for its request's way here and the answer's way back
@@ -224,17 +224,8 @@
             self.where: tuple[str, int] = self.sock.getsockname()
             clients.loop.add_reader(self.sock.fileno(), self._accept)
             return
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        try:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            if gate is not None:
-                # The socket of a holder that stands still must not keep its successor from the address.
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            self.sock.bind(where)
-            self.sock.listen(1024)
-        except OSError:
-            self.sock.close()
-            raise
+        # The socket of a holder that stands still must not keep its successor from an address that moves.
+        self.sock = listening(where, 1024, shared_port=gate is not None)
         self.where = self.sock.getsockname()
         clients.loop.add_reader(self.sock.fileno(), self._accept)
 
--- a/wickgw/net/mgmt.py
+++ b/wickgw/net/mgmt.py
@@ -8,12 +8,11 @@
 
 import asyncio
 import itertools
-import socket
 from collections.abc import Callable
 
 import structlog
 
-from wickgw.net.sockets import Connection, Sockets
+from wickgw.net.sockets import Connection, Sockets, listening
 from wickgw.service import calls as c
 
 log = structlog.get_logger("wickgw")
@@ -66,14 +65,7 @@
         self._numbers = itertools.count()
         self._timer: asyncio.TimerHandle | None = None
         self._resume: asyncio.TimerHandle | None = None
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        try:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.sock.bind(where)
-            self.sock.listen(128)
-        except OSError:
-            self.sock.close()
-            raise
+        self.sock = listening(where, 128)
         self.where: tuple[str, int] = self.sock.getsockname()
         loop.add_reader(self.sock.fileno(), self._accept)
 
