The clients' listener adopts or binds its socket, then registers it in one place

Need: reading the change again, Listener.__init__ had two copies of taking the address and adding the reader, one in an early return for the passed socket. Change: the socket is adopted or bound, then one path takes its address and registers it. Behaviour unchanged.

--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -221,12 +221,10 @@
         if passed is not None:
             self.sock = socket.socket(fileno=passed)
             self.sock.setblocking(False)
-            self.where: tuple[str, int] = self.sock.getsockname()
-            clients.loop.add_reader(self.sock.fileno(), self._accept)
-            return
-        # The socket of a holder that stands still must not keep its successor from an address that moves.
-        self.sock = listening(where, 1024, shared_port=gate is not None)
-        self.where = self.sock.getsockname()
+        else:
+            # The socket of a holder that stands still must not keep its successor from an address that moves.
+            self.sock = listening(where, 1024, shared_port=gate is not None)
+        self.where: tuple[str, int] = self.sock.getsockname()
         clients.loop.add_reader(self.sock.fileno(), self._accept)
 
     def _accept(self, last: bool = False) -> None:
