Progress, load reports, kinds of machines, tenants and worth by work count in the decisions

Change: Progress carries its share, Outcome the free slots of a load report, Entry the kind of machine, Settings counted-by and the report's field; books.Paces learns how slow kinds and workers are; a crawling job moves; what runs long goes to the quick; a second copy goes where a slot is free; held work goes by worth as the site counts it.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -57,21 +57,23 @@
         return self.feed(i.WorkerList(kind, entries))
 
     def arrive(
-        self, name: str, cls: int = 0, patience: float | None = None, slots: float = 1.0
+        self, name: str, cls: int = 0, patience: float | None = None, slots: float = 1.0, tenant: int = 0
     ) -> list[i.Action]:
         """A request comes."""
         kind = self.set.classes[cls]
         patience = kind.deadline if patience is None else patience
         self.owed[name] = Owed(kind, self.now + patience)
-        return self.feed(i.Arrival(name, cls, patience, slots=slots))
+        return self.feed(i.Arrival(name, cls, patience, tenant, slots))
 
     def start(self, name: str, number: int = 0) -> list[i.Action]:
         """A worker begins an attempt."""
         self.owed[name].tries[number].started = True
         return self.feed(i.Started(name, number))
 
-    def end(self, name: str, verdict: i.Verdict = i.Verdict.OK, number: int = 0) -> list[i.Action]:
-        """An attempt ends."""
+    def end(
+        self, name: str, verdict: i.Verdict = i.Verdict.OK, number: int = 0, free: float | None = None
+    ) -> list[i.Action]:
+        """An attempt ends, perhaps with a load report."""
         owed = self.owed[name]
         attempt = owed.tries[number]
         assert attempt.verdict is None
@@ -79,7 +81,7 @@
         if verdict is i.Verdict.OK and owed.answered is None:
             owed.answered = self.now
         over = owed.answered is not None
-        return self.feed(i.Outcome(name, number, verdict, over))
+        return self.feed(i.Outcome(name, number, verdict, over, free))
 
     def open(self) -> list[tuple[str, int]]:
         """Attempts without an outcome."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -87,12 +87,13 @@
         version: int = -1,
         mgmt: bool = False,
         passed: int | None = None,
+        facts: dict[str, Any] | None = None,
         **bounds: Any,
     ) -> None:
         self.servers = {n: socket.create_server(("127.0.0.1", 0)) for n in ("w0", "w1", "d", "e")}
         self.connections: dict[str, socket.socket] = {}
         self.unread: dict[str, bytes] = {}
-        self.facts = facts = FACTS | {"bounds": FACTS["bounds"] | bounds}
+        self.facts = facts = FACTS | {"bounds": FACTS["bounds"] | bounds} | (facts or {})
         listed = json.loads(self.list(str(version), "whole", *known.split())) if known else None
         where = self.address("d")
         at = ("127.0.0.1", 0) if mgmt else None
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -14,8 +14,8 @@
 from numpy.typing import NDArray
 
 from wickgw import interface as i
-from wickgw.books import NOBODY, Attempt, Held, Index, Line, Request, Worker
-from wickgw.matrices import AT_ONCE, Matrices, Solve
+from wickgw.books import NOBODY, Attempt, Bucket, Held, Index, Line, Paces, Request, Worker
+from wickgw.matrices import AT_ONCE, Matrices, Once, Solve
 from wickgw.validate import check
 
 GAMMA = 0.99  # discount: near 1, so that q tells speeds apart; a worker that never drains has q = 100
@@ -34,6 +34,7 @@
 PIECE = 0.004  # seconds between pieces
 PASSED = 100  # times in a row that room may go past a held request to other kinds; the next is its own
 LOOKS = 8  # held requests of one kind that are looked at for a worker they may go to
+COPIES = 2  # of a job that has not begun
 SLACK = 0.008  # seconds before its time is up at which a held request is answered
 NEVER_RAN = (i.Verdict.FULL, i.Verdict.CONNECT_FAILED, i.Verdict.MOOT)
 
@@ -51,8 +52,7 @@
         self.rows: list[Worker | None] = []  # whose each row of the matrices is
         self.active: set[Worker] = set()  # those with something to book at the next tick
         self.index = Index()
-        # A solve that is under way, and whose its rows were when it began.
-        self.solving: tuple[Solve, list[Worker | None]] | None = None
+        self.solving: tuple[Once | Solve, list[Worker | None]] | None = None  # and whose its rows were
         self.aim = min(c.aim for c in settings.classes)
         self.keep = settings.idle_close  # seconds for which an unused connection is trusted
         self.spacing = max(0.0, settings.dispatchers / QUEUE - 1)
@@ -68,8 +68,9 @@
         self.spare = MOST_SPARE  # further attempts left: retries must not feed a jam
         self.held = Held(len(settings.classes))
         self.next_end = math.inf  # when the timer for the held comes
-        self.run = [c.aim for c in settings.classes]  # seconds a job of the class runs, learned
-        self.tokens: dict[int, tuple[float, float]] = {}  # a tenant's requests within its share, and when
+        self.paces = Paces([c.aim for c in settings.classes])
+        self.run = self.paces.run  # seconds a job of the class runs, learned
+        self.quotas = [Bucket(t.quota / settings.dispatchers) for t in settings.tenants]  # our parts of them
         self.work_sent = 0.0  # slot-seconds sent to warm workers since the last tick
         self.warm_rate = 0.0  # the same, a second and worker, averaged
         self.todo: list[i.Action] = []
@@ -98,45 +99,27 @@
         """q from the matrices. A worker little known counts as all do: thought idle, it would draw us all."""
         self.solved = now
         self.kept = self.matrices.pooled(math.exp(-self.tick * len(self.run) / sum(self.run)))
-        known = self.matrices.data()
-        workers = [w for row in known if (w := self.rows[row]) is not None]
-        for w in set(self.order).difference(workers) if len(known) < len(self.order) else ():
-            self._set_q(w, 1 / (1 - GAMMA * self.kept))
-        if len(known) > AT_ONCE:  # in one it would stop the instance for tens of milliseconds
-            solve = Solve(self.matrices, known, self.kept)
-            self.solving = solve, self.rows[: solve.end]
-            self._wake("solve", PIECE)
-        elif known:
-            try:
-                self._take_q(workers, np.linalg.solve(*self.matrices.system(known, self.kept)))
-            except np.linalg.LinAlgError:
-                return
+        self.solving = self.matrices.begin(self.kept), list(self.rows)
+        self._go_on()
 
     def _go_on(self) -> None:
-        """The next step of a solve."""
+        """The next step of a solve: a large one at once would stop the instance for tens of milliseconds."""
         if self.solving is None:
             return
         solve, workers = self.solving
-        q = solve.step()
-        if q is None:
+        if (found := solve.step()) is None:
             self._wake("solve", PIECE)
             return
         self.solving = None
-        rows = [row for row, w in enumerate(workers) if w is not None]
-        self._take_q([w for w in workers if w is not None], q[rows])
-
-    def _take_q(self, workers: list[Worker], q: NDArray[Any]) -> None:
-        if not len(q) or not np.isfinite(q).all() or q.min() <= 0:  # nonsense: the last q stays
+        q = np.append(found, np.full(len(workers) - solve.end, 1 / (1 - GAMMA * self.kept)))
+        known = [(w, value) for w, value in zip(workers, q.tolist(), strict=True) if w is not None]
+        if not all(0 < value < math.inf for _, value in known):  # nonsense: the last q stays
             return
-        for w, value in zip(workers, q.tolist(), strict=True):
+        for w, value in known:
             old, w.q = w.q, value
             if self.rows[w.row] is w:  # it may have left, or begun anew, since the solve began
                 self.index.costs[w.row] *= value / old
 
-    def _set_q(self, w: Worker, q: float) -> None:
-        w.q = q
-        self._changed(w)
-
     def _changed(self, w: Worker) -> None:
         """Enter a worker in the index: from when on it may get something new, and at what cost."""
         if self.rows[w.row] is not w:  # it has left, and its row may be another's
@@ -149,7 +132,8 @@
         toll = 1.0 if w.zone == self.set.zone else 1 + TOLL * self.set.crossing_fee
         free_at, rests = max(open_at, w.rest_until, w.crowd_until), w.rest_until if w.ready else math.inf
         unused = w.idle[-1] if w.idle else -math.inf
-        self.index.enter(w.row, free_at, open_at, rests, w.q * (1 + w.load) * toll, unused)
+        toll *= 1 + max(0.0, 1 + w.load - w.slots)  # by its load report our next job would wait there
+        self.index.enter(w.row, free_at, open_at, rests, w.q * (1 + w.load) * toll, unused, w.slots - w.load)
 
     def _unbook(self, attempt: Attempt) -> None:
         """An unserved end leaves no trace in this tick: else failing fast would look like draining fast."""
@@ -161,9 +145,8 @@
     def _add(self, entry: i.Entry, now: float) -> None:
         warm_at = -math.inf if entry.since is None else entry.since + self.set.warm_after
         row = self.matrices.add()
-        if more := self.matrices.size - len(self.rows):
-            self.rows += [None] * more
-            self.index.grow(more)
+        self.rows += [None] * (self.matrices.size - len(self.rows))
+        self.paces.enter(row, entry.kind)
         worker = Worker(entry.worker, row, entry.zone, entry.cell, entry.since, warm_at)
         # Hundreds of us may see it start at once: the first send waits for a random part of the pace.
         worker.cold_next = now + self.random.random() * self._pace(worker, sum(self.run) / len(self.run), now)
@@ -172,7 +155,8 @@
         self.workers[worker.id] = self.rows[worker.row] = worker
         self.order.append(worker)
         self.solved = -math.inf
-        self._set_q(worker, 1 / (1 - GAMMA * self.kept))
+        worker.q = 1 / (1 - GAMMA * self.kept)
+        self._changed(worker)
 
     def _drop(self, worker: Worker) -> None:
         self.rows[worker.row] = None
@@ -206,16 +190,11 @@
                     self._add(entry, now)
         self._serve(now)
 
-    def _cold_share(self, worker: Worker, now: float) -> float:
-        """The least share of its capacity that a worker may have now: 1 when warm."""
-        if now >= worker.warm_at:
-            return 1.0
-        return 1 - (1 - self.set.cold_from) * min(1.0, (worker.warm_at - now) / self.set.warm_after)
-
     def _pace(self, worker: Worker, cost: float, now: float) -> float:
         """Seconds in which a cold worker's share, rising, of what warm ones get from us makes up a job: in
         its capacity for all of us, and not too late for those who send seldom. Nothing known: one slot."""
-        share, whole = self._cold_share(worker, now), max(self.set.warm_after, 1e-9)
+        whole = max(self.set.warm_after, 1e-9)
+        share = 1 - (1 - self.set.cold_from) * min(1.0, max(0.0, worker.warm_at - now) / whole)
         due = cost / (PUSH * self.warm_rate if self.warm_rate > 1e-9 else 1 / self.set.dispatchers)
         return 2 * due / (share + math.sqrt(share * share + 2 * (1 - self.set.cold_from) / whole * due))
 
@@ -257,6 +236,9 @@
             if not pool:
                 return None
             free = np.array([w.row for w in pool])
+        if r.kind.stretch > 1:  # what runs too long for its kind elsewhere goes to the quick, if one is free
+            quick = free[self.paces.lags(free) <= math.log((1 + r.kind.stretch) / 2)]
+            free = quick if len(quick) else free
         if self.random.random() < EXPLORE:
             some: list[int] = free.tolist()
             return self.rows[self.random.choice(some)]
@@ -296,9 +278,11 @@
     # What an outcome leads to: retry or answer.
 
     def _note(self, event: i.Started | i.Progress, now: float) -> None:
-        attempt = self.out.get((event.request, event.attempt))
+        attempt, r = self.out.get((event.request, event.attempt)), self.requests.get(event.request)
         if attempt is None:
             return
+        if isinstance(event, i.Progress) and attempt.tell(event.share, now, r is not None and r.begun == 1):
+            self._paced(r, attempt, now)
         attempt.noted = now
         if attempt.started is None:
             attempt.started = now
@@ -313,9 +297,24 @@
             self._changed(attempt.worker)
             if attempt.unused > self.keep / 2:
                 self.keep = min(1.1 * self.keep, self.set.idle_close)
-            self._call_off(self.requests.get(event.request), begun=False)
+            self._call_off(r, begun=False)
             self._serve(now)
 
+    def _paced(self, r: Request | None, attempt: Attempt, now: float) -> None:
+        """A job's pace tells how slow its worker is, once it is known how long it runs on a usual one. From
+        one so slow that half of its class's slack is lost it goes elsewhere, if that is quicker even so."""
+        if r is None or attempt.moved or self.rows[attempt.worker.row] is not attempt.worker:
+            return
+        r.size = self.paces.size(attempt.worker.row, attempt.whole, r.size)
+        usual, rest = math.exp(r.size), (1 - attempt.share) * attempt.whole
+        there = usual + self.set.progress_every + r.kind.aim  # all of it again: what was saved is not told
+        late = rest > there and now + rest > r.urgency + (1 + r.kind.stretch) / 2 * usual
+        harmless = self.set.may_cancel and r.kind.effect is i.Effect.SAFE and len(r.attempts) < r.most
+        r.until = max(r.until, now + rest - there)  # begun there later it would end later than here
+        if late and harmless and now + there < r.due and self._pick(r, self._free(now), now):
+            attempt.moved = True
+            self.todo.append(i.Cancel(r.id, r.attempts.index(attempt)))
+
     def _call_off(self, r: Request | None, begun: bool) -> None:
         """Ends the other copies of a request: those that wait when one begins, all when one is served."""
         for number, other in enumerate(r.attempts if r and self.set.may_cancel else ()):
@@ -340,8 +339,8 @@
             w.room += GROW
             w.strikes = max(0.0, w.strikes - FORGIVE)
             self._call_off(r, begun=True)
-            if r and attempt.started is not None:
-                self.run[r.cls] += 0.05 * (now - attempt.started - self.run[r.cls])
+            if r and attempt.started is not None and r.begun == 1 and self.rows[w.row] is w:
+                self.paces.ran(r.cls, now - attempt.started, w.row)
         else:
             self._unbook(attempt)
             # One request that nobody can use is its client's fault; a worker that calls all so is sick.
@@ -353,6 +352,8 @@
                 w.strikes = min(w.strikes + 1, MOST_STRIKES)
                 w.rest_until = now + REST * 2 ** (w.strikes - 1)
         self.active.add(w)
+        if event.free is not None:
+            w.slots = event.free + w.load
         self._changed(w)
         if r and not event.over and r.ticket < 0 and all(a.verdict is not None for a in r.attempts):
             if event.verdict is i.Verdict.UNUSABLE:
@@ -396,8 +397,9 @@
                 # many of us the second copies and moves are the jam that they should get around.
                 quiet = self.wait < self.aim / 2 and len(r.attempts) == 1
                 late = quiet and age > max(r.kind.aim + self.run[r.cls], 3 * self.wait)
-                copy = quiet and age > self.aim / 2 and self.copies[r.cls]
-                if copy and len(free) and (other := self._pick(r, free, now)):
+                copy = age > self.aim / 2 and self.copies[r.cls] and len(r.attempts) <= COPIES
+                some = free if quiet else self.index.roomy(free)
+                if copy and len(some) and (other := self._pick(r, some, now)):
                     self._send(r, other, now)
                     free = self._free(now)
                     continue
@@ -413,9 +415,11 @@
     # Admission: held work, most worth for its work first, and ended when it can earn nothing.
 
     def _arrival(self, event: i.Arrival, now: float) -> None:
-        kind, slots, run = self.set.classes[event.cls], max(event.slots, 1.0), self.run[event.cls]
+        kind, slots = self.set.classes[event.cls], max(event.slots, 1.0)
         due, self.spare = now + event.patience, min(self.spare + SPARE, MOST_SPARE)
-        # Begun later it ends past its aim: its own run and the usual wait at a worker come off.
+        # Begun later it ends past its aim: its own run and the usual wait at a worker come off. Where late is
+        # worth nothing the run is a typical job's, half the mean: running times spread widely.
+        run = self.run[event.cls] * (1.0 if kind.late_worth else 0.5)
         until = min(due - SLACK, now + max(kind.aim + (kind.stretch - 1) * run - self.wait, self.aim / 2))
         urgency, share = min(due, now + kind.aim), self._share(event.tenant, now)
         most = self.set.max_attempts if event.most is None else min(event.most, self.set.max_attempts)
@@ -429,13 +433,9 @@
 
     def _share(self, tenant: int, now: float) -> float:
         """What a request's worth counts for: less beyond our part of its tenant's quota."""
-        if not 0 <= tenant < len(self.set.tenants):
-            return 1.0
-        rate = self.set.tenants[tenant].quota / self.set.dispatchers
-        tokens, then = self.tokens.get(tenant, (rate, now))
-        tokens = min(max(rate, 1.0), tokens + rate * (now - then))  # a second's worth at most
-        self.tokens[tenant] = (max(0.0, tokens - 1), now)
-        return 1.0 if tokens >= 1 else self.set.over_share_worth
+        known = 0 <= tenant < len(self.quotas)  # what is nobody's is beyond every share
+        within = self.quotas[tenant].take(now) if known else not self.quotas
+        return 1.0 if within else self.set.over_share_worth
 
     def _hold(self, r: Request, now: float) -> None:
         """Keeps a request here for a free worker, or ends it when there is no sense in that."""
@@ -483,7 +483,8 @@
 
     def _rank(self, item: tuple[Line, Request]) -> tuple[bool, float, int]:
         line, r = item
-        return line.passed < PASSED, -r.kind.worth * r.share / (r.slots * self.run[r.cls]), r.ticket
+        work = r.slots * (1.0 if self.set.worth_by_work else self.run[r.cls])
+        return line.passed < PASSED, -r.kind.worth * r.share / work, r.ticket
 
     def _wake(self, name: str, after: float) -> None:
         self.todo.append(i.Wake(name, max(after, 0.001)))
@@ -517,11 +518,9 @@
                 self._hold(r, now)
             self._wake_for_held(now)
         elif event.name == "tick":
-            if any(now >= w.warm_at for w in self.order):  # in a wave of restarts the last figure holds
-                warm = len([w for w in self.order if now >= w.warm_at]) if self.work_sent else 1
-                self.warm_rate += min(1.0, self.tick / 5) * (
-                    self.work_sent / self.tick / warm - self.warm_rate
-                )
+            if warm := sum(now >= w.warm_at for w in self.order):  # else the last figure holds
+                rate = self.work_sent / self.tick / warm
+                self.warm_rate += min(1.0, self.tick / 5) * (rate - self.warm_rate)
             self.work_sent = 0.0
             self._learn(now)
             self._wake("tick", self.tick)
--- a/wickgw/books.py
+++ b/wickgw/books.py
@@ -44,6 +44,7 @@
     idle: list[float] = field(default_factory=list)  # since when its open connections have been unused
     cold_next: float = -math.inf  # no send before this while cold
     crowd_until: float = -math.inf  # others fill it: no send before this
+    slots: float = math.inf  # that are free there or ours, by its last load report; infinite: it gives none
 
 
 @dataclass(slots=True, eq=False)
@@ -59,6 +60,19 @@
     moved: bool = False  # called off, to go elsewhere
     unused: float = 0.0  # seconds for which its connection had been
     ways: float = 1.0  # of these the network needs until its start is known
+    share: float = 0.0  # of the job that is done, as its worker told last
+    whole: float = (
+        0.0  # seconds that all of the job takes at the pace of its last two notes; 0: not known yet
+    )
+
+    def tell(self, share: float, now: float, anew: bool) -> bool:
+        """Progress; whether it tells the pace. The first note of a job that was not begun anew may count what
+        was saved of it elsewhere."""
+        done, first, self.share = share - self.share, not self.share, max(share, self.share)
+        if done <= 0 or now <= self.noted or (first and not anew):
+            return False
+        self.whole = (now - self.noted) / done
+        return True
 
 
 @dataclass(slots=True, eq=False)
@@ -75,9 +89,15 @@
     share: float  # what its worth counts for: its tenant's share, less once it is late
     most: int  # attempts
     attempts: list[Attempt] = field(default_factory=list)
+    size: float | None = None  # log of the seconds that it runs on a usual worker, once its progress tells
     late: bool = False  # too late for the full worth, held for the worth of a late answer
     ticket: int = -1  # its place among the held; -1: not held
 
+    @property
+    def begun(self) -> int:
+        """Attempts that began to run."""
+        return sum(a.started is not None for a in self.attempts)
+
 
 Kind = tuple[int, float, float, bool]  # class, share, slots, tried before
 
@@ -156,6 +176,70 @@
         return [(line, front) for _, line, front in found if front is not None]
 
 
+class Paces:
+    """How long jobs run, by class; and by how much longer than usual at each worker: logs, learned for its
+    kind of machine, which all of a kind teach, and for itself. Running times spread widely: small gains."""
+
+    GAIN, RUN = 0.04, 0.05
+
+    def __init__(self, runs: list[float]) -> None:
+        self.run = runs  # mean seconds of a job of the class
+        self.mid = [math.log(run) for run in runs]  # log of its median
+        self._seen = [0] * len(runs)
+        self._numbers: dict[str, int] = {}
+        self._kinds = np.zeros(0)
+        self._own, self._kind = np.zeros(0), np.zeros(0, np.intp)  # by row
+
+    def enter(self, row: int, kind: str) -> None:
+        """A row is a new worker's: it is as others of its kind are."""
+        if (more := row + 1 - len(self._own)) > 0:
+            self._own = np.append(self._own, np.zeros(more))
+            self._kind = np.append(self._kind, np.zeros(more, np.intp))
+        number = self._numbers.setdefault(kind, len(self._numbers))
+        if number == len(self._kinds):
+            self._kinds = np.append(self._kinds, 0.0)
+        self._own[row], self._kind[row] = 0.0, number
+
+    def lag(self, row: int) -> float:
+        """Log of how much longer jobs run there than usual."""
+        return float(self._own[row] + self._kinds[self._kind[row]])
+
+    def lags(self, rows: Rows) -> NDArray[np.float64]:
+        """The same of several."""
+        return self._own[rows] + self._kinds[self._kind[rows]]
+
+    def ran(self, cls: int, seconds: float, row: int) -> None:
+        """A job of the class has run there, and nowhere else."""
+        self.run[cls] += self.RUN * (seconds - self.run[cls])
+        self._seen[cls] += 1
+        off = math.log(max(seconds, 0.001)) - self.mid[cls]
+        self.mid[cls] += off * max(self.RUN / 5, 1 / self._seen[cls])
+        kind = self._kind[row]
+        self._kinds[kind] += self.GAIN * (off - self._kinds[kind])
+        self._own[row] += self.GAIN * (off - self.lag(row))
+
+    def size(self, row: int, whole: float, known: float | None) -> float:
+        """Log of the seconds that a job runs on a usual worker, of one that takes so many seconds there. One
+        whose pace was seen before, or elsewhere, tells how slow the worker is."""
+        if known is not None:
+            self._own[row] = math.log(whole) - known - self._kinds[self._kind[row]]
+        return math.log(whole) - self.lag(row)
+
+
+class Bucket:
+    """What comes within a rate, of which a second's worth may come at once."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate, self.left, self.then = rate, max(rate, 1.0), -math.inf
+
+    def take(self, now: float) -> bool:
+        """One more has come; whether it is within the rate."""
+        full = max(self.rate, 1.0)
+        held = min(full, self.left + self.rate * (now - self.then)) if self.then > -math.inf else self.rate
+        self.left, self.then = max(0.0, held - 1), now
+        return held >= 1
+
+
 class Index:
     """What a pick needs of each worker, in arrays by its row; a row of nobody is never free."""
 
@@ -166,26 +250,35 @@
         self.rests = none  # until when it rests; never over for one that is not ready
         self.costs = none
         self.unused = none  # since when its newest idle connection has been unused
+        self.vacant = none  # slots that are free by its load report; infinite: it gives none
         self._nobody_until = -math.inf  # nobody is free before, as long as nothing is entered
 
-    def grow(self, more: int) -> None:
-        """More rows, of nobody."""
-        none = np.full(more, math.inf)
+    def _grow(self, size: int) -> None:
+        none = np.full(size - len(self.costs), math.inf)
         self.free_at, self.open_at = np.append(self.free_at, none), np.append(self.open_at, none)
         self.rests, self.costs = np.append(self.rests, none), np.append(self.costs, none)
-        self.unused = np.append(self.unused, none)
+        self.unused, self.vacant = np.append(self.unused, none), np.append(self.vacant, none)
 
     def enter(
-        self, row: int, free_at: float, open_at: float, rests: float, cost: float, unused: float
+        self,
+        row: int,
+        free_at: float,
+        open_at: float,
+        rests: float,
+        cost: float,
+        unused: float,
+        vacant: float,
     ) -> None:
-        """What holds of a worker from now on."""
+        """What holds of a worker from now on. Rows come with those entered, twice as many at a time."""
+        if row >= len(self.costs):
+            self._grow(max(2 * row, 8))
         self.free_at[row], self.open_at[row], self.rests[row] = free_at, open_at, rests
-        self.costs[row], self.unused[row] = cost, unused
+        self.costs[row], self.unused[row], self.vacant[row] = cost, unused, vacant
         self._nobody_until = min(self._nobody_until, free_at)
 
     def clear(self, row: int) -> None:
         """It is nobody's."""
-        self.enter(row, math.inf, math.inf, math.inf, math.inf, math.inf)
+        self.enter(row, math.inf, math.inf, math.inf, math.inf, math.inf, math.inf)
 
     def free(self, now: float) -> Rows:
         """Rows that may get something new."""
@@ -196,6 +289,11 @@
             self._nobody_until = float(self.free_at.min())
         return free
 
+    def roomy(self, rows: Rows) -> Rows:
+        """Those of them that have a slot free for certain: their load reports say so."""
+        vacant = self.vacant[rows]
+        return rows[(vacant >= 1) & (vacant < math.inf)]
+
     def all_rest(self, now: float) -> bool:
         """Whether every worker that is ready rests."""
         return bool(len(self.rests)) and bool(self.rests.min() > now)
--- a/wickgw/drill.py
+++ b/wickgw/drill.py
@@ -4,14 +4,17 @@
 """
 
 import json
+import math
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from typing import IO, Any
 
 from wickgw import interface as i
 from wickgw.balance import Balancer
 
 NS = 1e-9
+MOST_FREE = 1e6  # slots that a load report may call free: more is nonsense
 Json = dict[str, Any]
 EFFECTS = {
     "read_like": i.Effect.SAFE,
@@ -65,11 +68,41 @@
         handshake_fee=facts.get("fees", {}).get("handshake", 0.0),
         crossing_fee=facts.get("fees", {}).get("cross-zone", 0.0),
         over_share_worth=facts.get("over-share-worth", 1.0),
+        free_slots=_free_slots(facts),
+        worth_by_work=facts.get("counted-by") == "work",
         cold_from=rules.get("cold-from", 1.0),
         warm_after=rules.get("warm-after-ns", 0) * NS,
     )
 
 
+def _free_slots(facts: Json) -> str:
+    """The field of load reports that tells free slots; empty where there are no reports, or none tells it."""
+    reporting, family = facts.get("reporting") or {}, facts.get("family-info") or {}
+    if reporting.get("source", "silent") == "silent":
+        return ""
+    fields = reporting.get("fields") or ()
+    return next((f for f in fields if family.get(f"report-{f}") == "free slots"), "")
+
+
+def _number(value: object) -> float:
+    """A number of JSON; NaN if it is none."""
+    return float(value) if isinstance(value, int | float) and not isinstance(value, bool) else math.nan
+
+
+def read_load(load: object, field: str) -> float | None:
+    """The free slots that a load report tells; None if it tells none, or nonsense."""
+    if not field or not isinstance(load, dict):
+        return None
+    free = _number(load.get(field))
+    return free if 0 <= free < MOST_FREE else None
+
+
+def read_share(share: object) -> float:
+    """How much of a job is done, of a progress note; 0 if that is not told, or nonsense."""
+    done = _number(share)
+    return done if 0 < done <= 1 else 0.0
+
+
 def read_entry(e: Json) -> i.Entry:
     """One line of a list of workers."""
     since = e.get("online-since-ns") or None
@@ -79,6 +112,7 @@
         zone=e.get("hall", 0),
         cell=e.get("group", 0),
         since=None if since is None else since * NS,
+        kind=str(e.get("model", "")),
     )
 
 
@@ -86,7 +120,7 @@
     topic = m.get("topic", 0)
     if topic == 1:
         return i.Started(m["corr"], m.get("hop", 0))
-    return i.Progress(m["corr"], m.get("hop", 0)) if topic == 2 else None
+    return i.Progress(m["corr"], m.get("hop", 0), read_share(m.get("amount"))) if topic == 2 else None
 
 
 READ: dict[str, Callable[[Json], i.Event | None]] = {
@@ -152,6 +186,8 @@
             event: i.Event | None = i.WorkerList(kind, entries)
         elif name in READ:
             event = READ[name](m)
+            if isinstance(event, i.Outcome) and m.get("usage"):
+                event = replace(event, free=read_load(m["usage"], self.instances[instance].set.free_slots))
         else:
             raise WireError(f"unknown message {name!r}")
         return [] if event is None else self.instances[instance].handle(event, now)
--- a/wickgw/interface.py
+++ b/wickgw/interface.py
@@ -100,6 +100,8 @@
     handshake_fee: float = 0.0  # price of a new connection, as a share of the mean worth of a request
     crossing_fee: float = 0.0  # price of an attempt to another zone, in the same way
     over_share_worth: float = 1.0  # worth of a request beyond its tenant's quota, as a share
+    free_slots: str = ""  # the field of load reports that says how many slots are free, if there are reports
+    worth_by_work: bool = False  # worth is counted for each unit of work, and not for each request
     cold_from: float = 1.0  # a started worker's first capacity, as a share of the full one
     warm_after: float = 0.0  # seconds until it is warm at the latest
 
@@ -113,6 +115,7 @@
     zone: int = 0
     cell: int = 0
     since: float | None = None  # clock time of its last start; None: long ago
+    kind: str = ""  # of machine
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +138,7 @@
     request: str
     cls: int  # index into Settings.classes
     patience: float  # seconds until the client gives this try up
-    tenant: int = 0
+    tenant: int = 0  # index into Settings.tenants; any other: nobody's, where there are tenants
     slots: float = 1.0
     most: int | None = None  # attempts, if fewer than Settings.max_attempts
 
@@ -161,6 +164,7 @@
 
     request: str
     attempt: int
+    share: float = 0.0  # of the job that is done; 0: not told
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,6 +183,7 @@
     attempt: int
     verdict: Verdict
     over: bool = False  # the request has had its final answer
+    free: float | None = None  # free slots at the worker, where a load report that came with it says so
 
 
 @dataclass(frozen=True, slots=True)
--- a/wickgw/matrices.py
+++ b/wickgw/matrices.py
@@ -129,6 +129,11 @@
             b += self.gamma * alone * self.sigma_bar_t[np.ix_(np.array(known), rest)].sum(axis=1)
         return a, b
 
+    def begin(self, kept: float) -> "Once | Solve":
+        """Begin to solve for q."""
+        known = self.data()
+        return Once(self, known, kept) if len(known) <= AT_ONCE else Solve(self, known, kept)
+
     def rows(
         self, sigma: Floats, bar_t: Floats, first: int, kept: float, weight: float
     ) -> tuple[Floats, Floats]:
@@ -141,6 +146,24 @@
         return a, sigma.sum(axis=1) + prior
 
 
+class Once:
+    """q of a small fleet, in one step."""
+
+    def __init__(self, matrices: Matrices, known: list[int], kept: float) -> None:
+        self.known, self.end = known, known[-1] + 1 if known else 0
+        self.alone = 1 / (1 - matrices.gamma * kept)
+        self.a, self.b = matrices.system(known, kept) if known else (np.zeros((0, 0)), np.zeros(0))
+
+    def step(self) -> Floats:
+        """q for the rows up to `end`; NaN where there is none."""
+        q = np.full(self.end, self.alone)
+        try:
+            q[self.known] = np.linalg.solve(self.a, self.b)
+        except np.linalg.LinAlgError:
+            q[self.known] = np.nan
+        return q
+
+
 class Solve:
     """q of a large fleet, in steps of a few milliseconds: what was noted is added, the system is copied, and
     solved. It is the system of all rows up to the last with data, as they were when it began."""
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -304,6 +304,7 @@
         self.loop, self.sockets, self.pools, self.report = loop, sockets, pools, report
         self.counters = pools.counters
         self.classes = {c.name: (n, c.deadline) for n, c in enumerate(settings.classes)}
+        self.tenants = {t.name: n for n, t in enumerate(settings.tenants)}
         self.connections: set[ClientConnection] = set()
         # Connections that owe nothing, longest so first, in the order in which they make room for others:
         # those whose last answer is written, those that have brought no job yet, those that have.
@@ -430,7 +431,9 @@
             patience = min(int(wait) / 1000, longest, choice.time_limit) - ALLOWANCE
             due = self.loop.time() + (patience if gate is None else min(patience, gate.time_left()))
             job = Job(request.method, request.target, request.body)
-            context = RequestContext(name, cls, due, job, connection, slots, choice.attempts)
+            # Who names no tenant of the settings, or several, is served as nobody's: beyond every share.
+            tenant = self.tenants.get(request.headers.get("req-owner", ""), -1) if self.tenants else 0
+            context = RequestContext(name, cls, due, job, connection, slots, tenant, choice.attempts)
             connection.taken(context)
             if not self.pools.take(choice, context):
                 connection.context = None
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -85,7 +85,7 @@
         if isinstance(zone, str):  # a zone of no name that we know is nobody's home
             zone = self.zones.index(zone) if zone in self.zones else len(self.zones)
         since = self.clock.at_unix_ms(float(t.get("boot_ms") or 0))
-        entry = i.Entry(uid, i.Health(t["state"]), int(zone), int(t.get("pod_group") or 0), since)
+        entry = i.Entry(uid, i.Health(t["state"]), int(zone), int(t.get("pod_group") or 0), since, model)
         return Target(entry, endpoint, named, model)
 
 
--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -92,6 +92,7 @@
     job: Any  # what the client's side hands to the peers' side; not looked at here
     client: ClientSide | None  # None once answered or gone
     slots: float = 1.0
+    tenant: int = 0  # index into the settings' tenants; -1: none of them
     most: int | None = None  # attempts, if its route allows fewer
     home: "Dispatcher | None" = None  # whose it is, once taken
     tries: int = 0  # started
@@ -154,7 +155,7 @@
         # The Balancer answers in time by itself. Should it fail at that, the client is still told.
         self._guard(context)
         patience = context.due - self.clock.now()
-        self._feed(i.Arrival(context.id, context.cls, patience, slots=context.slots, most=context.most))
+        self._feed(i.Arrival(context.id, context.cls, patience, context.tenant, context.slots, context.most))
         return True
 
     def left(self, context: RequestContext) -> None:
@@ -170,12 +171,15 @@
         """A peer has begun a try."""
         self._feed(i.Started(request, number))
 
-    def progress(self, request: str, number: int) -> None:
-        """A peer is still at a try."""
-        self._feed(i.Progress(request, number))
+    def progress(self, request: str, number: int, share: float = 0.0) -> None:
+        """A peer is still at a try, and says how much of the job is done (0: it doesn't)."""
+        self._feed(i.Progress(request, number, share))
 
-    def ended(self, request: str, number: int, verdict: i.Verdict, result: bytes = b"") -> None:
-        """The one end of a try. The first that is served is the answer."""
+    def ended(
+        self, request: str, number: int, verdict: i.Verdict, result: bytes = b"", free: float | None = None
+    ) -> None:
+        """The one end of a try, with the free slots that the peer reported. The first that is served is the
+        answer."""
         context = self.contexts.get(request)
         if context is None or number not in context.out:  # told already, see _start
             return
@@ -183,7 +187,7 @@
         context.out.discard(number)
         if verdict is i.Verdict.OK:
             self._answer(context, Answer(AnswerKind.SERVED, result))
-        self._feed(i.Outcome(request, number, verdict, over=context.client is None))
+        self._feed(i.Outcome(request, number, verdict, over=context.client is None, free=free))
         self._forget(context)
 
     def stop(self, within: float) -> None:
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -11,11 +11,13 @@
 import socket
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 import structlog
 
 from wickgw import interface as i
+from wickgw.drill import read_load, read_share
 from wickgw.net import http
 from wickgw.net.dispatch import Dispatcher, RequestContext
 from wickgw.net.sockets import Connection, Sockets, address
@@ -35,6 +37,8 @@
     id: str
     state: str
     result: str | None = None
+    share: Any = None  # of the job that is done
+    load: Any = None  # the peer's load report. Nonsense in either is passed over: the job is none the worse
 
 
 JOB_EVENT = msgspec.json.Decoder(JobEvent)
@@ -56,6 +60,7 @@
         self.peers, self.context, self.number, self.until = peers, context, number, until
         self.connection: PeerConnection | None = None
         self.over = False
+        self.free: float | None = None  # slots free at the peer, if it has reported them
         self.timer = peers.loop.call_at(until, self.give_up, i.Verdict.TIMEOUT)
 
     def hurry(self, until: float) -> None:
@@ -89,7 +94,7 @@
         self.over = True
         self.timer.cancel()
         del self.peers.tries[self.context.id, self.number]
-        self.peers.dispatcher.ended(self.context.id, self.number, verdict, result)
+        self.peers.dispatcher.ended(self.context.id, self.number, verdict, result, self.free)
 
 
 @dataclass(slots=True, eq=False)
@@ -257,11 +262,11 @@
             raise ValueError(f"not a job event: {error}") from error
         if event.id != try_.context.id:
             raise ValueError("job event that is not about this try")
-        state = event.state
+        state, try_.free = event.state, read_load(event.load, self.peers.free_slots)
         if state == "started":
             self.peers.dispatcher.started(try_.context.id, try_.number)
         elif state == "running":
-            self.peers.dispatcher.progress(try_.context.id, try_.number)
+            self.peers.dispatcher.progress(try_.context.id, try_.number, read_share(event.share))
         elif state == "done":
             result = event.result
             if result is None:
@@ -290,6 +295,8 @@
         else:
             verdict, result = i.Verdict.ERROR, b""
         try_, self.try_ = self.try_, None
+        if try_ is not None and self.status.status != 200:
+            try_.free = self.peers.free_told(self.status)
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -345,9 +352,15 @@
     dispatcher: Dispatcher  # set once, when both exist
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, sockets: Sockets, connect_timeout: float, idle_close: float
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sockets: Sockets,
+        connect_timeout: float,
+        idle_close: float,
+        free_slots: str = "",
     ) -> None:
         self.loop, self.sockets, self.connect_timeout = loop, sockets, connect_timeout
+        self.free_slots = free_slots  # the field of load reports that tells them; empty: none does
         self.keep = idle_close * TRUST
         self.peers: dict[str, _Peer] = {}
         self.tries: dict[tuple[str, int], _Try] = {}
@@ -357,6 +370,14 @@
         self._sweeper = loop.call_later(SWEEP, self._sweep)
         sockets.sides.append(self)
 
+    def free_told(self, head: http.Head) -> float | None:
+        """The free slots that an answer's load report tells."""
+        report = head.headers.get("srv-load") if self.free_slots else None
+        try:
+            return read_load(msgspec.json.decode(report), self.free_slots) if report else None
+        except (msgspec.MsgspecError, UnicodeError, RecursionError):
+            return None
+
     def place(self, worker: str, endpoint: str, since: float | None) -> None:
         """Discovery says where a peer listens, and since when. What idled there before is of no more use."""
         peer = self.peers.get(worker)
--- a/wickgw/net/pools.py
+++ b/wickgw/net/pools.py
@@ -47,7 +47,7 @@
     ) -> None:
         self.name, self.has = name, has
         settings = config.settings
-        self.peers = Peers(loop, sockets, settings.connect_timeout, settings.idle_close)
+        self.peers = Peers(loop, sockets, settings.connect_timeout, settings.idle_close, settings.free_slots)
         balancer = Balancer(settings, config.seed + zlib.crc32(name.encode()))  # 0 for the one without a name
         self.dispatcher = self.peers.dispatcher = Dispatcher(balancer, loop, clock, self.peers)
         self.states: dict[str, i.Health] = {}  # of its workers
