--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -171,6 +171,42 @@
     assert worker.startswith("slow")
 
 
+# A planned restart.
+
+
+@pytest.mark.parametrize("told_before", [True, False])
+def test_job_that_can_t_end_before_a_planned_restart_is_refused_at_once(told_before: bool) -> None:
+    """Its client may still have it run elsewhere; there is room at once, so nothing is said of waiting."""
+    c = Caller(site(HEAVY, ONCE, may_cancel=True), entries=tuple(i.Entry(f"w{k}") for k in range(3)))
+    for name, cls in (("long", 0), ("short", 0), ("once", 1)):
+        c.arrive(name, cls)
+        c.start(name)
+    c.wait(1.0)
+    if not told_before:
+        assert not c.feed(i.Stopping(3.5))
+    for name, share in (("long", 0.1), ("short", 0.5), ("once", 0.1)):
+        c.feed(i.Progress(name, 0, share))
+    if told_before:
+        assert not [a for _, a in c.actions if isinstance(a, i.Refuse)]
+        c.feed(i.Stopping(3.5))
+    ended = [a for _, a in c.actions if isinstance(a, i.Cancel | i.Refuse | i.Fail)]
+    assert ended == [i.Cancel("long", 0), i.Refuse("long", 0.0)]
+
+
+def test_refusal_of_a_process_that_is_about_to_end_is_its_connection_s_last() -> None:
+    line = json.dumps({"id": "1", "state": "running", "share": 0.0001}) + "\n"
+    note = f"{len(line):x}~{line}~".replace("\n", "\\n").replace('"', '\\"')
+    scene = Scene()
+    try:
+        scene.play(f'a send job 1\nw0 gets 1\nw0 send take\nw0 send event started 1\nw0 send raw "{note}"')
+        scene.play(
+            "node wait progress 1\nnode drain\na expect 503 .*Retry-After: 0\\r\\n.*Connection: close.*later\\n$"
+        )
+        scene.play("a expect end\nw0 expect end")
+    finally:
+        scene.close()
+
+
 # Load reports.
 
 
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -74,7 +74,7 @@
         for _ in range(2):  # both lose their two jobs: one serves them, the other lets them time out
             w0.flying -= 1
             w1.flying -= 1
-            c.balancer._unbook(Attempt(w1, 1.0, c.now - 0.05, c.now))
+            Attempt(w1, 1.0, c.now - 0.05, c.now).unbook(c.balancer.last_tick)
     c.balancer._solve(0.0)
     assert w1.q > w0.q
 
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -73,6 +73,7 @@
         self.quotas = [Bucket(t.quota / settings.dispatchers) for t in settings.tenants]  # our parts of them
         self.work_sent = 0.0  # slot-seconds sent to warm workers since the last tick
         self.warm_rate = 0.0  # the same, a second and worker, averaged
+        self.stop_by = math.inf  # this instance ends then
         self.todo: list[i.Action] = []
 
     def handle(self, event: i.Event, now: float) -> list[i.Action]:
@@ -86,9 +87,7 @@
     def _learn(self, now: float) -> None:
         """A tick: book x, x_prev and u in the rows in use. New data weighs ever more, so old fades."""
         used = sorted((w for w in self.active if self.rows[w.row] is w), key=lambda w: w.row)
-        if past := [w for w in used if w.before]:
-            rows, kept = [w.row for w in used], [float(w.flying - w.sent) for w in used]
-            self.matrices.book([w.row for w in past], [float(w.before) for w in past], rows, kept)
+        self.matrices.tick([(w.row, w.before, w.flying - w.sent) for w in used])
         for w in used:
             w.before, w.sent = w.flying, 0
         self.active = {w for w in used if w.flying}
@@ -135,13 +134,6 @@
         toll *= 1 + max(0.0, 1 + w.load - w.slots)  # by its load report our next job would wait there
         self.index.enter(w.row, free_at, open_at, rests, w.q * (1 + w.load) * toll, unused, w.slots - w.load)
 
-    def _unbook(self, attempt: Attempt) -> None:
-        """An unserved end leaves no trace in this tick: else failing fast would look like draining fast."""
-        if attempt.sent >= self.last_tick:
-            attempt.worker.sent -= 1
-        else:
-            attempt.worker.before -= 1
-
     def _add(self, entry: i.Entry, now: float) -> None:
         warm_at = -math.inf if entry.since is None else entry.since + self.set.warm_after
         row = self.matrices.add()
@@ -281,9 +273,8 @@
         attempt, r = self.out.get((event.request, event.attempt)), self.requests.get(event.request)
         if attempt is None:
             return
-        if isinstance(event, i.Progress) and attempt.tell(event.share, now, r is not None and r.begun == 1):
+        if attempt.tell(event.share, now, r is not None and r.begun == 1):
             self._paced(r, attempt, now)
-        attempt.noted = now
         if attempt.started is None:
             attempt.started = now
             attempt.worker.unstarted -= 1
@@ -306,10 +297,14 @@
         if r is None or attempt.moved or self.rows[attempt.worker.row] is not attempt.worker:
             return
         r.size = self.paces.size(attempt.worker.row, attempt.whole, r.size)
-        usual, rest = math.exp(r.size), (1 - attempt.share) * attempt.whole
+        usual, rest = math.exp(r.size), attempt.rest(now)
         there = usual + self.set.progress_every + r.kind.aim  # all of it again: what was saved is not told
         late = rest > there and now + rest > r.urgency + (1 + r.kind.stretch) / 2 * usual
-        harmless = self.set.may_cancel and r.kind.effect is i.Effect.SAFE and len(r.attempts) < r.most
+        harmless = self.set.may_cancel and r.kind.effect is i.Effect.SAFE
+        if harmless and now + rest > self.stop_by:  # its client may still have it run elsewhere
+            self.todo.append(i.Cancel(r.id, r.attempts.index(attempt)))
+            self._answer(r)
+            return
         r.until = max(r.until, now + rest - there)  # begun there later it would end later than here
         if late and harmless and now + there < r.due and self._pick(r, self._free(now), now):
             attempt.moved = True
@@ -342,7 +337,7 @@
             if r and attempt.started is not None and r.begun == 1 and self.rows[w.row] is w:
                 self.paces.ran(r.cls, now - attempt.started, w.row)
         else:
-            self._unbook(attempt)
+            attempt.unbook(self.last_tick)
             # One request that nobody can use is its client's fault; a worker that calls all so is sick.
             unusable = event.verdict is i.Verdict.UNUSABLE
             blameless = (unusable and not w.turned) or event.verdict in (i.Verdict.MOOT, i.Verdict.CANCELLED)
@@ -378,7 +373,8 @@
         ready = max(1, int((self.index.rests < math.inf).sum()))
         work: float = sum(map(operator.mul, self.run, self.held.slots)) + self.run[r.cls] * r.slots
         share = work * self.set.dispatchers / ready  # the others hold about as much for the same workers
-        return min(max(share, self.aim) * self.random.uniform(0.75, 1.25), self.set.most_after)
+        most = self.set.most_after if self.stop_by == math.inf else 0.0  # elsewhere there is room at once
+        return min(max(share, self.aim) * self.random.uniform(0.75, 1.25), most)
 
     def _left(self, event: i.ClientLeft | i.StreamBegan, now: float) -> None:
         if r := self.requests.pop(event.request, None):
@@ -496,6 +492,7 @@
 
     def _stopping(self, event: i.Stopping, now: float) -> None:
         """Every client's time is up when this instance ends."""
+        self.stop_by = now + event.within
         for name in list(self.requests):
             self._hurry(i.Hurry(name, event.within), now)
 
@@ -506,6 +503,8 @@
             r.due = now + event.within
             if self.held.remove(r):
                 self._hold(r, now)
+            for attempt in [a for a in r.attempts if a.verdict is None and a.whole]:
+                self._paced(r, attempt, now)
 
     def _timer(self, event: i.Timer, now: float) -> None:
         if event.name == "ask":
--- a/wickgw/books.py
+++ b/wickgw/books.py
@@ -66,14 +66,26 @@
     )
 
     def tell(self, share: float, now: float, anew: bool) -> bool:
-        """Progress; whether it tells the pace. The first note of a job that was not begun anew may count what
-        was saved of it elsewhere."""
-        done, first, self.share = share - self.share, not self.share, max(share, self.share)
-        if done <= 0 or now <= self.noted or (first and not anew):
+        """News of it, with the share that is done (0: not told); whether that tells its pace. The first share
+        of a job that was not begun anew may count what was saved of it elsewhere."""
+        done, passed, first = share - self.share, now - self.noted, not self.share
+        self.share, self.noted = max(share, self.share), now
+        if done <= 0 or passed <= 0 or (first and not anew):
             return False
-        self.whole = (now - self.noted) / done
+        self.whole = passed / done
         return True
 
+    def rest(self, now: float) -> float:
+        """Seconds until it ends, at the pace that was told last."""
+        return (1 - self.share) * self.whole - (now - self.noted)
+
+    def unbook(self, last_tick: float) -> None:
+        """An unserved end leaves no trace in this tick: else failing fast would look like draining fast."""
+        if self.sent >= last_tick:
+            self.worker.sent -= 1
+        else:
+            self.worker.before -= 1
+
 
 @dataclass(slots=True, eq=False)
 class Request:
--- a/wickgw/interface.py
+++ b/wickgw/interface.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import ClassVar
 
 
 class Effect(Enum):
@@ -156,6 +157,7 @@
 
     request: str
     attempt: int
+    share: ClassVar[float] = 0.0  # nothing of it is done
 
 
 @dataclass(frozen=True, slots=True)
--- a/wickgw/matrices.py
+++ b/wickgw/matrices.py
@@ -76,6 +76,12 @@
         self.kept[self.noted, used] = kept
         self.noted += 1
 
+    def tick(self, used: list[tuple[int, int, int]]) -> None:
+        """Book a tick: for each row in use its x_prev and its x - u."""
+        if past := [(row, float(before)) for row, before, _ in used if before]:
+            rows, counts = zip(*past, strict=True)
+            self.book(list(rows), counts, [row for row, _, _ in used], [float(kept) for _, _, kept in used])
+
     def fold(self) -> None:
         """Add what was noted to the matrices."""
         self.fold_rows(slice(0, self.size), self.noted, self.size)
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -182,6 +182,8 @@
         if answer.kind is AnswerKind.SERVED:
             self.write(200, answer.result, TEXT)
         elif answer.kind is AnswerKind.REFUSED:
+            # A client that comes again on this connection finds the same process, which is about to end.
+            self.keep = self.keep and not self.clients.leaving
             after = f"{answer.retry_after:.3f}".rstrip("0").rstrip(".")
             self.write(503, b"not done, try again later\n", TEXT | {"Retry-After": after})
         else:
--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -173,6 +173,7 @@
 
     def progress(self, request: str, number: int, share: float = 0.0) -> None:
         """A peer is still at a try, and says how much of the job is done (0: it doesn't)."""
+        self.counters["progress"] += 1
         self._feed(i.Progress(request, number, share))
 
     def ended(
