A process listens before it loads the decisions, and loads no rich, typer or pydantic

Cause: a serving process loaded 537 modules, of which numpy needs about 200: typer and all command groups, pydantic's plugins, rich through structlog's console; config.relay built a Balancer to check the settings.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -93,6 +93,76 @@
     assert done.returncode == 2 and word in done.stderr and done.stderr.count("\n") == 1
 
 
+# What a start loads is paid by every process of a release in the same second.
+NOT_FOR_SERVING = [
+    *("rich", "typer", "click", "pydantic", "jinja2", "interegular", "configparser", "unittest", "email"),
+    *("wickgw.cli", "wickgw.address", "wickgw.routing", "wickgw.emulator", "wickgw.drill"),
+]
+NOT_YET = ["numpy", "structlog", "msgspec", "wickgw.balance", "wickgw.node"]  # before it listens
+LOADED = """
+import sys
+{code}
+print(*sorted({{m for m in sys.modules if any(m == n or m.startswith(n + ".") for n in {names!r})}}))
+"""
+
+
+@pytest.mark.parametrize(
+    "code, names",
+    [
+        # Before it listens: no numerics, no log, no loop's worth of the serving path.
+        (
+            "import wickgw.start",
+            (*NOT_FOR_SERVING, "numpy", "structlog", "msgspec", "wickgw.balance", "wickgw.node"),
+        ),
+        ("import wickgw.start, wickgw.node; wickgw.node.configure_log(None, False)", NOT_FOR_SERVING),
+    ],
+)
+def test_serving_process_loads_nothing_that_it_does_not_need(code: str, names: list[str]) -> None:
+    body = LOADED.format(code=code, names=names)
+    done = subprocess.run(
+        [sys.executable, "-c", body], capture_output=True, text=True, timeout=60, check=True
+    )
+    assert done.stdout.strip() == ""
+
+
+def test_words_that_serve_does_not_take_are_explained(tmp_path: Path) -> None:
+    process = start(tmp_path / "config.json", GOOD, "serve", "--loud")
+    _, error = process.communicate(timeout=60)
+    assert process.returncode == 2 and "--loud" in error
+    process = start(tmp_path / "config.json", GOOD, "serve", "--ini", str(tmp_path / "none.ini"))
+    _, error = process.communicate(timeout=60)
+    assert process.returncode == 2 and "none.ini: No such file" in error and error.count("\n") == 1
+
+
+@pytest.mark.parametrize("number, word", [(signal.SIGHUP, "reload.done"), (signal.SIGTERM, "node.draining")])
+def test_signal_that_comes_while_the_program_loads_is_heeded_later(
+    number: signal.Signals, word: str, tmp_path: Path
+) -> None:
+    """The test's own module stands where numpy is looked for first, and signals its process."""
+    code = f"import os, sys\nos.kill(os.getpid(), {int(number)})\ndel sys.modules['numpy']\n"
+    code += "sys.path.remove(os.path.dirname(__file__))\nimport numpy\n"
+    (tmp_path / "numpy.py").write_text(code)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD))
+    environ = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+    process = subprocess.Popen(
+        [sys.executable, "-m", "wickgw", "serve"],
+        env=environ | {"RELAY_CONFIG": str(path), "PYTHONPATH": str(tmp_path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        assert process.stderr is not None
+        assert any(word in line for line in iter(process.stderr.readline, ""))
+        process.terminate()
+        process.communicate(timeout=30)
+        assert process.returncode == 0
+    finally:
+        process.kill()
+        process.communicate()
+
+
 def test_check_and_version_say_what_they_know(tmp_path: Path) -> None:
     out, _ = start(tmp_path / "config.json", GOOD, "check").communicate(timeout=60)
     assert "atlanta" in out and "once: aim 0.2 s" in out
--- a/wickgw/address/driver.py
+++ b/wickgw/address/driver.py
@@ -12,8 +12,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import structlog
-
 from wickgw.address import events as e
 from wickgw.address.announce import Announcer, ListenOnly, Program
 from wickgw.address.gate import SPARE, Gate, Phase
@@ -21,13 +19,15 @@
 from wickgw.address.keys import KeyFileError, Keys, read_keys
 from wickgw.address.store import Store
 from wickgw.address.wire import MOST, Wire
-from wickgw.config.relay import ConfigError
+from wickgw.config.relay import BACKLOG, ConfigError
 from wickgw.config.schema import AddressSettings, ServiceSettings
 from wickgw.net.clients import Clients, Listener
 from wickgw.net.dispatch import Clock
-from wickgw.net.sockets import address as socket_address
+from wickgw.net.listen import address as socket_address
+from wickgw.net.listen import listening
+from wickgw.observe import logger
 
-log = structlog.get_logger("wickgw.address")
+log = logger("wickgw.address")
 AT_ONCE = 64  # datagrams read before others get their turn
 SETTLE = 0.05  # seconds that a planned move may wait for requests that are just coming in
 LOOK = 0.002  # seconds between looks at that
@@ -266,7 +266,9 @@
             return  # a Retire or Cut came meanwhile, and stands behind this in the chain
         if not why:
             try:
-                service.listener = Listener(self.clients, service.where, gate)
+                # The socket of a holder that stands still must not keep its successor from the address.
+                sock = listening(service.where, BACKLOG, shared_port=True)
+                service.listener = Listener(self.clients, sock, gate)
             except OSError as error:
                 why = f"{service.settings.at}: {error.strerror}"
         self._feed(e.Announced(gate.address, gate.term, not why, why))
--- a/wickgw/cli/address.py
+++ b/wickgw/cli/address.py
@@ -13,7 +13,7 @@
 
 from wickgw.cli.common import told_plainly
 from wickgw.config.relay import ConfigError
-from wickgw.net.sockets import address as socket_address
+from wickgw.net.listen import address as socket_address
 
 app = typer.Typer(no_args_is_help=True, help="Service addresses that move between instances.")
 
--- a/wickgw/cli/serve.py
+++ b/wickgw/cli/serve.py
@@ -3,17 +3,17 @@
 Owns nothing but arguments, what is printed, and exit codes.
 """
 
-import asyncio
 import os
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
+from wickgw import start
 from wickgw.cli.common import told_plainly
 from wickgw.config.ini import read_ini
 from wickgw.config.relay import read_config
-from wickgw.node import Sources, check_routes, configure_log, run
+from wickgw.node import check_routes
 from wickgw.version import VERSION
 
 app = typer.Typer()
@@ -28,11 +28,7 @@
     ini: Annotated[Path | None, INI] = None,
 ) -> None:
     """Serve as one dispatcher, configured by RELAY_CONFIG, until SIGTERM; SIGHUP reads it again."""
-    with told_plainly():
-        config, operator = read_config(os.environ), read_ini(ini)
-        check_routes(operator)
-        configure_log(operator, verbose)
-        asyncio.run(run(config, operator, Sources(os.environ, ini, verbose)))
+    raise typer.Exit(start.serve(ini, verbose))
 
 
 @app.command()
--- a/wickgw/config/ini.py
+++ b/wickgw/config/ini.py
@@ -4,7 +4,6 @@
 a section costs nothing: the schema is not imported for it. It must never half-accept a file.
 """
 
-import configparser
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -23,6 +22,8 @@
     if path is None and not DEFAULT.exists():
         return None
     path = path or DEFAULT
+    if not _sections(path):  # all is off: a file of remarks costs nothing
+        return None
     raw, lines = _read(path)
     if not raw:
         return None
@@ -40,8 +41,21 @@
     return _checked(path, raw, lines)
 
 
+def _sections(path: Path) -> bool:
+    """Whether a file holds more than remarks, and its reader has to look at it. Raises ConfigError."""
+    try:
+        if path.stat().st_size > MOST:
+            raise ConfigError(f"{path}: larger than {MOST} bytes")
+        lines = path.read_bytes().splitlines()
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    return any(line.strip() and line.lstrip()[:1] not in b"#;" for line in lines)
+
+
 def _read(path: Path) -> tuple[dict[str, dict[str, str]], dict[str, int]]:
     """The sections of a file, and the line on which each begins. Raises ConfigError."""
+    import configparser
+
     parser = configparser.ConfigParser(interpolation=None, delimiters=("=",), default_section="")
     parser.optionxform = str  # type: ignore[assignment]
     try:
--- a/wickgw/config/relay.py
+++ b/wickgw/config/relay.py
@@ -13,12 +13,13 @@
 from typing import Any
 
 from wickgw import interface as i
-from wickgw.balance import Balancer
-from wickgw.drill import read_settings
-from wickgw.net.sockets import address
+from wickgw.facts import read_settings
+from wickgw.net.listen import address, listening
+from wickgw.validate import check
 
 FEWEST_DESCRIPTORS = 32
 PASSED = "RELAY_PASSED_SOCKET"
+BACKLOG = 1024  # connections of clients that may wait to be accepted
 
 
 class ConfigError(Exception):
@@ -42,6 +43,15 @@
     path: str = "RELAY_CONFIG"  # the file it was read from, to be named in errors
 
 
+@dataclass(frozen=True, slots=True)
+class Sources:
+    """Where a process's settings were read, so that they can be read again."""
+
+    environ: Mapping[str, str]
+    ini: Path | None = None
+    verbose: bool = False
+
+
 def read_config(environ: Mapping[str, str]) -> Config:
     """The configuration named by the environment. Raises ConfigError with one plain line."""
     path = environ.get("RELAY_CONFIG")
@@ -70,7 +80,7 @@
         where = address(listen)
         address(discovery)
         settings = read_settings(raw["settings"])
-        Balancer(settings, 0)  # refuses impossible settings by name
+        check(settings)
         seed = raw.get("seed", 0)
         limits = raw.get("limits", {})
         descriptors, memory = limits.get("sockets", 1024), float(limits.get("memory_mb", 192))
@@ -99,6 +109,44 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """The sockets that a dispatcher listens at. Whoever holds this closes them."""
+
+    clients: socket.socket
+    mgmt: socket.socket | None
+
+
+def open_sockets(config: Config) -> Opened:
+    """Listen where the configuration says, or take the socket that the platform holds. Raises ConfigError,
+    with nothing left open."""
+    mgmt = None
+    if config.mgmt is not None:
+        # Before clients: a process that can't take calls ends before it has taken anybody's job.
+        host, port = config.mgmt
+        try:
+            mgmt = listening(config.mgmt, 128)
+        except OSError as error:
+            raise ConfigError(
+                f"{config.path}: mgmt (or RELAY_MGMT): can't listen at {host}:{port}: "
+                f"{error.strerror}; a free address of this host is allowed"
+            ) from error
+    if config.passed is not None:
+        # It is shared with the process before or after this one: it is never bound, and closing it here
+        # closes only this process's descriptor, so that the queue in it stays whole for the other.
+        clients = socket.socket(fileno=config.passed)
+        clients.setblocking(False)
+        return Opened(clients, mgmt)
+    try:
+        return Opened(listening(config.listen, BACKLOG), mgmt)
+    except OSError as error:
+        if mgmt is not None:
+            mgmt.close()
+        raise ConfigError(
+            f"can't listen at {config.listen[0]}:{config.listen[1]}: {error.strerror}"
+        ) from error
+
+
 def passed_socket(told: str | None) -> int | None:
     """The descriptor that $RELAY_PASSED_SOCKET names, once it is seen to be a listening TCP socket. The
     socket is only looked at: it is the platform's, and held by other processes too. Raises ConfigError."""
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -17,16 +17,15 @@
 from collections.abc import Callable
 from typing import Protocol
 
-import structlog
-
 from wickgw import interface as i
 from wickgw.net import http
 from wickgw.net.dispatch import Answer, AnswerKind, RequestContext
 from wickgw.net.peers import Job
 from wickgw.net.pools import NoRoute, Pools
-from wickgw.net.sockets import Connection, Sockets, listening
+from wickgw.net.sockets import Connection, Sockets
+from wickgw.observe import logger
 
-log = structlog.get_logger("wickgw")
+log = logger("wickgw")
 ALLOWANCE = 0.015  # seconds of a client's time left for its request's way here and the answer's way back
 ACCEPT_AT_ONCE = 32  # connections accepted, and not opened yet, before others get their turn
 ACCEPT_PAUSE = 0.02  # seconds without accepting after it failed, or while all connections are busy
@@ -211,21 +210,13 @@
     """A listening socket, open until it is closed. Neither an error nor a lack of descriptors ends it."""
 
     def __init__(
-        self, clients: "Clients", where: tuple[str, int], gate: Gate | None = None, passed: int | None = None
+        self, clients: "Clients", sock: socket.socket, gate: Gate | None = None, shared: bool = False
     ) -> None:
         self.clients, self.gate = clients, gate
         self._resume: asyncio.TimerHandle | None = None  # while not accepting
         self.closed = False
-        # A socket that the platform holds is shared with the process before or after this one: it is never
-        # bound, and closing it here closes only this process's descriptor, so that the queue of connections
-        # that wait in it stays whole for the other.
-        self.shared = passed is not None
-        if passed is not None:
-            self.sock = socket.socket(fileno=passed)
-            self.sock.setblocking(False)
-        else:
-            # The socket of a holder that stands still must not keep its successor from an address that moves.
-            self.sock = listening(where, 1024, shared_port=gate is not None)
+        # Shared with the process before or after this one, by the platform that holds it.
+        self.sock, self.shared = sock, shared
         self.where: tuple[str, int] = self.sock.getsockname()
         clients.loop.add_reader(self.sock.fileno(), self._accept)
 
@@ -321,10 +312,9 @@
 
     # Listening.
 
-    def listen(self, where: tuple[str, int], passed: int | None = None) -> tuple[str, int]:
-        """Begin to accept, on the socket passed if there is one; returns the address, as port 0 leaves the
-        choice to the system."""
-        self.listener = Listener(self, where, passed=passed)
+    def listen(self, sock: socket.socket, shared: bool) -> tuple[str, int]:
+        """Begin to accept; returns the address, as port 0 leaves the choice to the system."""
+        self.listener = Listener(self, sock, shared=shared)
         return self.listener.where
 
     @property
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -13,14 +13,14 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-import structlog
-
 from wickgw import interface as i
 from wickgw.net import http
 from wickgw.net.dispatch import Clock
-from wickgw.net.sockets import Connection, Sockets, address
+from wickgw.net.listen import address
+from wickgw.net.sockets import Connection, Sockets
+from wickgw.observe import logger
 
-log = structlog.get_logger("wickgw")
+log = logger("wickgw")
 WAIT = 10.0  # seconds that a watch may stay silent because nothing changes
 LATE = 1.5  # seconds until silence means that discovery, or the way to it, is down
 # An overbooked service serves calls in turn, the wait of a watch begins in its turn, and a call that
--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -17,12 +17,11 @@
 from enum import Enum
 from typing import Any, Protocol
 
-import structlog
-
 from wickgw import interface as i
 from wickgw.balance import Balancer
+from wickgw.observe import logger
 
-log = structlog.get_logger("wickgw")
+log = logger("wickgw")
 GRACE = 0.003  # seconds that the guard leaves to tries that time out at the same moment
 STALL = 0.05  # seconds by which a Wake is late when the loop has stood still; counted, so that it is seen
 
--- a/wickgw/net/mgmt.py
+++ b/wickgw/net/mgmt.py
@@ -8,14 +8,14 @@
 
 import asyncio
 import itertools
+import socket
 from collections.abc import Callable
 
-import structlog
-
-from wickgw.net.sockets import Connection, Sockets, listening
+from wickgw.net.sockets import Connection, Sockets
+from wickgw.observe import logger
 from wickgw.service import calls as c
 
-log = structlog.get_logger("wickgw")
+log = logger("wickgw")
 ACCEPT_PAUSE = 0.05  # seconds without accepting after it failed
 
 
@@ -57,7 +57,7 @@
     """The listener of the second address and its callers."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, sockets: Sockets, where: tuple[str, int], carry: Carry
+        self, loop: asyncio.AbstractEventLoop, sockets: Sockets, sock: socket.socket, carry: Carry
     ) -> None:
         self.loop, self.sockets, self.carry = loop, sockets, carry
         self.calls = c.Calls(sockets.for_calls)
@@ -65,7 +65,7 @@
         self._numbers = itertools.count()
         self._timer: asyncio.TimerHandle | None = None
         self._resume: asyncio.TimerHandle | None = None
-        self.sock = listening(where, 128)
+        self.sock = sock
         self.where: tuple[str, int] = self.sock.getsockname()
         loop.add_reader(self.sock.fileno(), self._accept)
 
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -14,15 +14,16 @@
 from typing import Any
 
 import msgspec
-import structlog
 
 from wickgw import interface as i
-from wickgw.drill import read_load, read_share
+from wickgw.facts import read_load, read_share
 from wickgw.net import http
 from wickgw.net.dispatch import Dispatcher, RequestContext
-from wickgw.net.sockets import Connection, Sockets, address
+from wickgw.net.listen import address
+from wickgw.net.sockets import Connection, Sockets
+from wickgw.observe import logger
 
-log = structlog.get_logger("wickgw")
+log = logger("wickgw")
 MAX_LINE = http.MAX_BODY + 4096  # a job event: the largest result and what stands around it
 MAX_RESPONSE = 1 << 20  # all lines of one try: hours of progress
 LAST = {"failed": i.Verdict.ERROR, "returned": i.Verdict.FULL, "lost": i.Verdict.RESET}
--- a/wickgw/net/pools.py
+++ b/wickgw/net/pools.py
@@ -14,8 +14,6 @@
 from typing import TYPE_CHECKING
 from urllib.parse import unquote
 
-import structlog
-
 from wickgw import interface as i
 from wickgw.balance import Balancer
 from wickgw.config.relay import Config
@@ -24,12 +22,13 @@
 from wickgw.net.dispatch import Clock, Dispatcher, RequestContext
 from wickgw.net.peers import Peers
 from wickgw.net.sockets import Sockets
+from wickgw.observe import logger
 
 if TYPE_CHECKING:
     from wickgw.routing.match import Request
     from wickgw.routing.table import Pool, Route, Table, Worker
 
-log = structlog.get_logger("wickgw.routing")
+log = logger("wickgw.routing")
 RETIRING = 0.5  # seconds between looks at whether a retired pool has ended its last request
 
 
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -11,9 +11,9 @@
 import socket
 from typing import Any, Protocol, cast
 
-import structlog
+from wickgw.observe import logger
 
-log = structlog.get_logger("wickgw")
+log = logger("wickgw")
 RESERVE = 24  # descriptors for the listener, discovery, the loop itself, logs and imports
 BASE_MB = 36  # what the process holds without a connection, 28 as measured, and some
 OPENERS = 4  # tasks for each side: opening one takes some turns of the loop, and others wait behind it
@@ -154,31 +154,3 @@
         for queue in self._connected.values():
             while not queue.empty():
                 queue.get_nowait()[0].close()
-
-
-def listening(where: tuple[str, int], backlog: int, shared_port: bool = False) -> socket.socket:
-    """A listening socket that doesn't block, bound where it is told; `shared_port` lets another process
-    bind the same address beside it. Raises OSError, with nothing left open."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if shared_port:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        sock.bind(where)
-        sock.listen(backlog)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
-def address(text: str) -> tuple[str, int]:
-    """'10.0.0.1:7070' as a socket address. Raises ValueError."""
-    host, colon, port = text.rpartition(":")
-    try:
-        socket.inet_aton(host)
-    except OSError:
-        raise ValueError(f"not an address: {text!r}") from None
-    if not colon or not port.isascii() or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"not an address: {text!r}")
-    return host, int(port)
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -6,25 +6,23 @@
 
 import asyncio
 import contextlib
+import functools
 import gc
 import json
 import signal
-from collections.abc import Mapping
-from dataclasses import dataclass, replace
-from pathlib import Path
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import structlog
-
 from wickgw import interface as i
 from wickgw.config.ini import read_ini
-from wickgw.config.relay import Config, ConfigError, read_config
+from wickgw.config.relay import Config, ConfigError, Opened, Sources, read_config
 from wickgw.net.clients import Clients
 from wickgw.net.discovery import Discovery, ListError, ListReader, Target
 from wickgw.net.dispatch import Clock, Dispatcher
 from wickgw.net.mgmt import Mgmt
 from wickgw.net.pools import Pools
 from wickgw.net.sockets import Sockets
+from wickgw.observe import logger
 from wickgw.observe.log import set_up_log
 from wickgw.service.calls import Call
 
@@ -33,7 +31,7 @@
     from wickgw.config.schema import Operator
     from wickgw.routing.table import Table
 
-log = structlog.get_logger("wickgw")
+log = logger("wickgw")
 ACCEPT_ON = 0.6  # seconds after SIGTERM in which clients may still come: 0.4 announced, and some
 WIND_DOWN = 1.7  # seconds before its end in which a dispatcher takes nothing more: most jobs take less
 SETTLE = 0.02  # seconds between looks at whether all is answered
@@ -41,15 +39,6 @@
 LONGEST, SPARE = 3.0, 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class Sources:
-    """Where a node's settings were read, so that they can be read again."""
-
-    environ: Mapping[str, str]
-    ini: Path | None = None
-    verbose: bool = False
-
-
 class Node:
     """One dispatcher: its parts, put together on a loop."""
 
@@ -106,19 +95,12 @@
         self.pools.begin(known)
         self.clients.ready = bool(known)
 
-    def start(self) -> tuple[str, int]:
-        """Listen, and ask for the list; returns the address listened at. Raises ConfigError or OSError."""
-        if self.config.mgmt is not None:
-            # Before clients: a process that can't take calls ends before it has taken anybody's job.
-            host, port = self.config.mgmt
-            try:
-                self.mgmt = Mgmt(self.loop, self.sockets, self.config.mgmt, self.carry)
-            except OSError as error:
-                raise ConfigError(
-                    f"{self.config.path}: mgmt (or RELAY_MGMT): can't listen at {host}:{port}: "
-                    f"{error.strerror}; a free address of this host is allowed"
-                ) from error
-        where = self.clients.listen(self.config.listen, self.config.passed)
+    def start(self, opened: Opened) -> tuple[str, int]:
+        """Accept, and ask for the list; returns the address listened at. The sockets are the node's from here
+        on."""
+        if opened.mgmt is not None:
+            self.mgmt = Mgmt(self.loop, self.sockets, opened.mgmt, self.carry)
+        where = self.clients.listen(opened.clients, shared=self.config.passed is not None)
         self.discovery.open()
         if self.address is not None:
             self.address.start()
@@ -289,30 +271,28 @@
         set_up_log(verbose, operator.log.format, operator.log.lines_per_second)
 
 
-async def run(config: Config, operator: "Operator | None", sources: Sources) -> None:
-    """Serve until told to end."""
+async def run(
+    config: Config, operator: "Operator | None", sources: Sources, opened: Opened, early: list[int]
+) -> None:
+    """Serve until told to end, on sockets that listen already. `early` holds the signals that came before,
+    and those that come until the loop has its own handlers. Raises ConfigError."""
     loop = asyncio.get_running_loop()
+    configure_log(operator, sources.verbose)
     node = Node(config, loop, operator)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, node.drain)
-    loop.add_signal_handler(signal.SIGHUP, node.reload, sources)  # unhandled, it would end the process
-    loop.add_signal_handler(signal.SIGUSR1, _print_report, node)
-    try:
-        host, port = node.start()
-    except ConfigError:
-        node.close()
-        raise
-    except OSError as error:
-        node.close()
-        raise ConfigError(
-            f"can't listen at {config.listen[0]}:{config.listen[1]}: {error.strerror}"
-        ) from error
+    handlers = {signal.SIGTERM: node.drain, signal.SIGINT: node.drain}
+    handlers |= {signal.SIGHUP: functools.partial(node.reload, sources)}
+    handlers |= {signal.SIGUSR1: functools.partial(_print_report, node)}
+    for known, handler in handlers.items():
+        loop.add_signal_handler(known, handler)
+    host, port = node.start(opened)
     try:
         log.info("node.listening", name=config.name, at=f"{host}:{port}")
         # A collection of all that was built at the start would stand still for tens of milliseconds.
-        gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 50)
+        gc.enable()
+        for number in dict.fromkeys(early):
+            handlers[signal.Signals(number)]()
         await node.finished
     finally:
         _print_report(node)
--- a/wickgw/observe/log.py
+++ b/wickgw/observe/log.py
@@ -9,10 +9,18 @@
 import os
 import stat
 import sys
-from typing import Literal
+from typing import Any, Literal
 
-import structlog
-from structlog.typing import Processor
+# structlog draws exceptions for a developer's console with rich, where it finds it: a third of all that a
+# start loads, for lines that this program never writes. The `None` says, to this import, that there is none.
+_RICH = {name: sys.modules.pop(name) for name in [*sys.modules] if name.partition(".")[0] == "rich"}
+sys.modules["rich"] = None  # type: ignore[assignment]
+try:
+    import structlog
+    from structlog.typing import Processor
+finally:
+    del sys.modules["rich"]
+    sys.modules.update(_RICH)
 
 LINES_A_SECOND = 50
 Format = Literal["key-value", "json"]
@@ -36,6 +44,11 @@
         return self.lines <= self.most
 
 
+def make_logger(name: str) -> Any:
+    """structlog's logger of that name, as the log is set up now."""
+    return structlog.get_logger(name)
+
+
 def set_up_log(verbose: bool = False, form: Format = "key-value", most: int = LINES_A_SECOND) -> None:
     """Configure logging for this process. Called once at the start, and again when a reload changes it."""
     shared: list[Processor] = [
