Silent jobs and jobs that can't end where they are move while there is hope

Cause: traces of cut zones and slow machines: jobs silent after their notes, or sure to miss their deadline, stayed to the deadline, since _watch looked at the class's usual slack only and _paced at half the slack. Change: a pace note sets until when a start elsewhere is in time by the job's own size; silence before any note counts the time run as half the job; a job sure to miss its deadline goes where it can be met.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -140,6 +140,56 @@
     assert not [a for _, a in c.actions if isinstance(a, i.Cancel)]
 
 
+def moved(c: Caller) -> list[tuple[float, str]]:
+    return [(round(t, 1), a.request) for t, a in c.actions if isinstance(a, i.Cancel)]
+
+
+def test_job_whose_worker_falls_silent_is_moved_while_it_can_still_be_in_time() -> None:
+    """Half done after 2 of 4 s, then nothing: begun anew from a saved state it is in time until 5.2 s."""
+    c = Caller(site(HEAVY, may_cancel=True), entries=(i.Entry("w0"), i.Entry("w1")))
+    c.arrive("r")
+    c.start("r")
+    for share in (0.25, 0.5):
+        c.wait(1.0)
+        c.feed(i.Progress("r", 0, share))
+    c.wait(12.0)
+    assert moved(c) == [(4.6, "r")]  # 2.5 intervals after its last note
+    c = Caller(site(HEAVY, may_cancel=True), entries=(i.Entry("w0"), i.Entry("w1")))
+    c.arrive("r")
+    c.start("r")
+    c.wait(1.0)
+    c.feed(i.Progress("r", 0, 0.9))  # a job of 1.1 s: there is no sense in it any more when silence tells
+    c.wait(12.0)
+    assert moved(c) == []
+
+
+def test_job_that_is_never_heard_of_again_may_be_a_long_one() -> None:
+    """It has begun and told nothing since: what ran 2.5 s may well run as long again, and is in time then."""
+    c = Caller(site(HEAVY, ONCE, may_cancel=True), entries=tuple(i.Entry(f"w{k}") for k in range(3)))
+    for name, cls in (("r", 0), ("once", 1)):
+        c.arrive(name, cls)
+        c.start(name)
+    c.wait(2.7)
+    assert moved(c) == [(2.6, "r")]
+    ((name, _),) = c.sends(c.end("r", i.Verdict.CANCELLED))
+    assert name == "r"
+
+
+@pytest.mark.parametrize("slower, gone", [(1.35, [(1.0, "r")]), (1.0, [])])
+def test_job_that_can_t_end_in_its_client_s_time_goes_where_it_can(slower: float, gone: Any) -> None:
+    """16 s of a deadline of 15: half of the slack is not lost, but staying is a loss for certain. At a worker
+    that is no quicker it is as well."""
+    c = Caller(site(HEAVY, may_cancel=True), entries=(i.Entry("w0"), i.Entry("w1")))
+    c.arrive("r")
+    row = c.balancer.workers[c.owed["r"].tries[0].worker.worker].row
+    c.balancer.paces.size(row, slower, 0.0)  # a job of 1 s has shown it
+    c.start("r")
+    for share in (1 / 16, 2 / 16, 3 / 16):
+        c.wait(1.0)
+        c.feed(i.Progress("r", 0, share))
+    assert moved(c)[:1] == gone
+
+
 def test_job_that_goes_on_from_a_saved_state_tells_the_pace_from_its_second_note() -> None:
     c = crawl(HEAVY)
     c.end("r", i.Verdict.CANCELLED)
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -34,7 +34,7 @@
 PIECE = 0.004  # seconds between pieces
 PASSED = 100  # times in a row that room may go past a held request to other kinds; the next is its own
 LOOKS = 8  # held requests of one kind that are looked at for a worker they may go to
-COPIES = 2  # of a job that has not begun
+COPIES, SILENT = 2, 2.5  # of a job not begun; intervals of notes without one
 SLACK = 0.008  # seconds before its time is up at which a held request is answered
 NEVER_RAN = (i.Verdict.FULL, i.Verdict.CONNECT_FAILED, i.Verdict.MOOT)
 
@@ -61,8 +61,10 @@
         self.kept = 0.0  # of a worker little known, by a job that begins at once
         self.requests: dict[str, Request] = {}  # unanswered ones
         self.out: dict[tuple[str, int], Attempt] = {}  # attempts without an outcome
-        mean = sum(c.worth for c in settings.classes) / len(settings.classes)
-        price = 2 * settings.handshake_fee * mean  # of a copy that saves every second answer
+        worths = [c.worth for c in settings.classes]
+        price = (
+            2 * settings.handshake_fee * sum(worths) / len(worths)
+        )  # of a copy that saves half the answers
         self.copies = [settings.may_copy and c.worth * (1 - c.late_worth) > price for c in settings.classes]
         self.tick = self.aim / 2 if any(self.copies) else self.aim  # a copy is for half an aim's wait
         self.spare = MOST_SPARE  # further attempts left: retries must not feed a jam
@@ -169,11 +171,9 @@
                 self._drop(worker)
         for entry in event.entries:
             old = self.workers.get(entry.worker)
-            if old and entry.health is i.Health.DRAINING:  # drains kept: no grace is used
-                old.ready = False
-                self._changed(old)
-            elif old and entry.health is i.Health.READY and old.since == entry.since:
-                old.ready = True
+            same = old and old.since == entry.since and entry.health is i.Health.READY
+            if old and (same or entry.health is i.Health.DRAINING):  # drains kept: no grace is used
+                old.ready = bool(same)
                 self._changed(old)
             else:
                 if old:  # gone, or restarted: it begins anew
@@ -298,17 +298,17 @@
             return
         r.size = self.paces.size(attempt.worker.row, attempt.whole, r.size)
         usual, rest = math.exp(r.size), attempt.rest(now)
-        there = usual + self.set.progress_every + r.kind.aim  # all of it again: what was saved is not told
-        late = rest > there and now + rest > r.urgency + (1 + r.kind.stretch) / 2 * usual
+        left = usual * (1 - attempt.share) + self.set.progress_every  # elsewhere, if there is a saved state
+        late = rest > usual + r.kind.aim and now + rest > r.urgency + (1 + r.kind.stretch) / 2 * usual
         harmless = self.set.may_cancel and r.kind.effect is i.Effect.SAFE
-        if harmless and now + rest > self.stop_by:  # its client may still have it run elsewhere
+        r.until = max(r.until, r.urgency + r.kind.stretch * usual - left)
+        ends = harmless and now + rest > self.stop_by  # its client may still have it run elsewhere
+        goes = harmless and (late or now + rest > r.due > now + left)
+        if ends or (goes and self._pick(r, self._free(now), now)):
+            attempt.moved = not ends
             self.todo.append(i.Cancel(r.id, r.attempts.index(attempt)))
+        if ends:
             self._answer(r)
-            return
-        r.until = max(r.until, now + rest - there)  # begun there later it would end later than here
-        if late and harmless and now + there < r.due and self._pick(r, self._free(now), now):
-            attempt.moved = True
-            self.todo.append(i.Cancel(r.id, r.attempts.index(attempt)))
 
     def _call_off(self, r: Request | None, begun: bool) -> None:
         """Ends the other copies of a request: those that wait when one begins, all when one is served."""
@@ -347,8 +347,7 @@
                 w.strikes = min(w.strikes + 1, MOST_STRIKES)
                 w.rest_until = now + REST * 2 ** (w.strikes - 1)
         self.active.add(w)
-        if event.free is not None:
-            w.slots = event.free + w.load
+        w.slots = w.slots if event.free is None else event.free + w.load
         self._changed(w)
         if r and not event.over and r.ticket < 0 and all(a.verdict is not None for a in r.attempts):
             if event.verdict is i.Verdict.UNUSABLE:
@@ -387,15 +386,14 @@
             r, age = self.requests.get(name), now - attempt.sent
             if r is None or attempt.moved or r.kind.effect is i.Effect.UNSAFE:
                 continue
-            late = 0 < 2.5 * self.set.progress_every < now - attempt.noted
+            late = 0 < SILENT * self.set.progress_every < now - attempt.noted
             if attempt.started is None:
                 # None while jobs wait anyhow, and one each: what is called off is run all the same, and with
                 # many of us the second copies and moves are the jam that they should get around.
                 quiet = self.wait < self.aim / 2 and len(r.attempts) == 1
                 late = quiet and age > max(r.kind.aim + self.run[r.cls], 3 * self.wait)
                 copy = age > self.aim / 2 and self.copies[r.cls] and len(r.attempts) <= COPIES
-                some = free if quiet else self.index.roomy(free)
-                if copy and len(some) and (other := self._pick(r, some, now)):
+                if copy and (other := self._pick(r, free if quiet else self.index.roomy(free), now)):
                     self._send(r, other, now)
                     free = self._free(now)
                     continue
@@ -403,6 +401,8 @@
                     self.keep, attempt.unused, attempt.started = 0.7 * self.keep, 0.0, now
                     attempt.worker.unstarted -= 1  # so it does not bar the worker
                     self._changed(attempt.worker)
+            elif late and not attempt.whole:  # what has run so long may well run as long again
+                r.until = max(r.until, r.urgency + 2 * (r.kind.stretch - 1) * (now - attempt.started))
             hope = len(r.attempts) < r.most and (now < r.until or r.kind.late_worth)
             if late and hope and self.set.may_cancel and r.due - now > r.kind.aim:
                 attempt.moved = True
