A job that ran a while before it broke off may start again elsewhere

Change: an unserved end of a try that ran counts as half of the job at least (_may_be_long), as silence does. Ruled out: resets on kept connections before the start cost a try of 10 ms only; moves are not involved.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -175,6 +175,30 @@
     assert name == "r"
 
 
+@pytest.mark.parametrize("ran, again", [(0.1, True), (1.5, True)])
+@pytest.mark.parametrize("verdict", [i.Verdict.RESET, i.Verdict.ERROR])
+def test_job_that_breaks_off_after_a_while_runs_elsewhere(
+    verdict: i.Verdict, ran: float, again: bool
+) -> None:
+    """A typical job of its class would have lost its slack by then; one that ran so long is no such job."""
+    c = Caller(site(HEAVY, may_cancel=True), entries=(i.Entry("w0"), i.Entry("w1")))
+    c.balancer.run[0] = 0.5
+    c.arrive("r")
+    c.start("r")
+    c.wait(ran)
+    assert bool(c.sends(c.end("r", verdict))) is again
+
+
+def test_job_that_waited_long_before_it_broke_off_is_given_up() -> None:
+    c = Caller(site(HEAVY, may_cancel=True, may_copy=False), entries=(i.Entry("w0"), i.Entry("w1")))
+    c.balancer.run[0] = 0.5
+    c.arrive("r")
+    c.wait(1.5)
+    c.start("r")
+    c.wait(0.1)
+    assert [type(a) for a in c.end("r", i.Verdict.RESET)] == [i.Refuse]
+
+
 @pytest.mark.parametrize("slower, gone", [(1.35, [(1.0, "r")]), (1.0, [])])
 def test_job_that_can_t_end_in_its_client_s_time_goes_where_it_can(slower: float, gone: Any) -> None:
     """16 s of a deadline of 15: half of the slack is not lost, but staying is a loss for certain. At a worker
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -144,8 +144,7 @@
         worker = Worker(entry.worker, row, entry.zone, entry.cell, entry.since, warm_at)
         # Hundreds of us may see it start at once: the first send waits for a random part of the pace.
         worker.cold_next = now + self.random.random() * self._pace(worker, sum(self.run) / len(self.run), now)
-        if worker.zone != self.set.zone:  # its other half is its own zone's: no more than one job until seen
-            worker.room = 1.0
+        worker.room = math.inf if worker.zone == self.set.zone else 1.0  # until seen: its zone has the rest
         self.workers[worker.id] = self.rows[worker.row] = worker
         self.order.append(worker)
         self.solved = -math.inf
@@ -310,6 +309,11 @@
         if ends:
             self._answer(r)
 
+    def _may_be_long(self, r: Request | None, attempt: Attempt, now: float) -> None:
+        """What ran so long may well run as long again, and has the slack of its length to start again."""
+        if r and attempt.started is not None and not attempt.whole and self.set.tells_start:
+            r.until = max(r.until, r.urgency + 2 * (r.kind.stretch - 1) * (now - attempt.started))
+
     def _call_off(self, r: Request | None, begun: bool) -> None:
         """Ends the other copies of a request: those that wait when one begins, all when one is served."""
         for number, other in enumerate(r.attempts if r and self.set.may_cancel else ()):
@@ -338,6 +342,7 @@
                 self.paces.ran(r.cls, now - attempt.started, w.row)
         else:
             attempt.unbook(self.last_tick)
+            self._may_be_long(r, attempt, now)
             # One request that nobody can use is its client's fault; a worker that calls all so is sick.
             unusable = event.verdict is i.Verdict.UNUSABLE
             blameless = (unusable and not w.turned) or event.verdict in (i.Verdict.MOOT, i.Verdict.CANCELLED)
@@ -401,8 +406,8 @@
                     self.keep, attempt.unused, attempt.started = 0.7 * self.keep, 0.0, now
                     attempt.worker.unstarted -= 1  # so it does not bar the worker
                     self._changed(attempt.worker)
-            elif late and not attempt.whole:  # what has run so long may well run as long again
-                r.until = max(r.until, r.urgency + 2 * (r.kind.stretch - 1) * (now - attempt.started))
+            elif late:
+                self._may_be_long(r, attempt, now)
             hope = len(r.attempts) < r.most and (now < r.until or r.kind.late_worth)
             if late and hope and self.set.may_cancel and r.due - now > r.kind.aim:
                 attempt.moved = True
@@ -421,8 +426,7 @@
         most = self.set.max_attempts if event.most is None else min(event.most, self.set.max_attempts)
         r = Request(event.request, event.cls, kind, slots, due, until, urgency, share, most)
         self.requests[event.request] = r
-        worker = None if self.held else self._pick(r, self._free(now), now)
-        if worker is not None:
+        if not self.held and (worker := self._pick(r, self._free(now), now)):
             self._send(r, worker, now)
         else:
             self._hold(r, now)
@@ -487,8 +491,7 @@
 
     def _began(self, event: i.Began, now: float) -> None:
         self._wake("tick", self.tick)
-        if self.set.ask_for_list:
-            self.todo.append(i.Subscribe())
+        self.todo += [i.Subscribe()] if self.set.ask_for_list else []
 
     def _stopping(self, event: i.Stopping, now: float) -> None:
         """Every client's time is up when this instance ends."""
@@ -523,14 +526,12 @@
             self.work_sent = 0.0
             self._learn(now)
             self._wake("tick", self.tick)
-            if len(self.out) > AT_ONCE:  # a call of its own
-                self._wake("watch", 0.0)
-                return
-        if event.name in ("tick", "watch"):
+        if event.name == "tick" and len(self.out) > AT_ONCE:  # a call of its own
+            self._wake("watch", 0.0)
+        elif event.name in ("tick", "watch"):
             self._watch(now)
             self._serve(now)
 
     ON: ClassVar[dict[type, Callable[[Any, Any, float], None]]] = {i.Began: _began, i.WorkerList: _list}
     ON |= {i.Arrival: _arrival, i.ClientLeft: _left, i.Started: _note, i.Progress: _note, i.Timer: _timer}
-    ON |= {i.Hurry: _hurry, i.Outcome: _outcome, i.Stopping: _stopping}
-    ON |= {i.StreamBegan: _left}  # a begun stream is the client's
+    ON |= {i.Hurry: _hurry, i.Outcome: _outcome, i.Stopping: _stopping, i.StreamBegan: _left}
