--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -478,3 +478,92 @@
                 c.wait(rng.choice([0.001, 0.05, 0.4, 2.0]))
     c.wait(40.0)
     assert all(o.answered is not None for o in c.owed.values())
+
+
+# Scenes on sockets, at three sites of our own.
+
+SERVICES_AT = {
+    kind: [
+        {"name": n, "target-ns": 200 * MS, "hard-limit-ns": limit * MS, "idempotency": e, "worth": 2.0} | more
+        for n, e, more in (("look", again, {"window-ns": 500 * MS}), ("once", "non_idempotent", {}))
+    ]
+    for kind, limit, again in (
+        ("short", 1500, "read_like"),
+        ("keyed", 5000, "idempotency_key"),
+        ("long", 30_000, "read_like"),
+    )
+}
+SITES: dict[str, dict[str, Any]] = {
+    "pushed lists, one zone, short deadlines, no tenants, no notes": {
+        "discovery": "push",
+        "zones": ["one"],
+        "services": SERVICES_AT["short"],
+        "family-info": {},
+    },
+    "asked lists, three zones, keyed classes, tenants": {
+        "discovery": "ask",
+        "zones": ["a", "b", "c"],
+        "zone": 1,
+        "services": SERVICES_AT["keyed"],
+        "parties": [{"name": "x", "quota-per-s": 0.0}, {"name": "y", "quota-per-s": 9.0}],
+        "over-share-worth": 0.1,
+    },
+    "asked lists, five zones, long deadlines, reports, worth by work": {
+        "discovery": "ask",
+        "zones": list("abcde"),
+        "zone": 4,
+        "services": SERVICES_AT["long"],
+        "counted-by": "work",
+    }
+    | REPORTS
+    | FAMILY,
+}
+AT_ANY_SITE = {
+    "what a peer made is the answer": """
+        a send job 1 once 1200
+        w0 gets 1
+        w0 send serve 1
+        a expect 200 OK.*made
+        node wait owed 0
+    """,
+    "what may have run and must not run twice has failed": """
+        a send job 1 once 1200
+        w0 gets 1
+        w0 send last lost 1
+        a expect ^HTTP/1.1 502
+    """,
+    "what never ran is refused": """
+        w0 close
+        a send job 1 once 700
+        a expect ^HTTP/1.1 503 .*Retry-After
+    """,
+    "a drained peer gets nothing new": """
+        d send list 1 whole w0
+        a send job 1 once 1200
+        w0 gets 1
+        w0 send serve 1
+        a expect made
+        d send list 2 part w0=draining
+        node wait lists 2
+        a send job 2 once 300
+        a expect ^HTTP/1.1 503
+        node wait tries 1
+    """,
+    "sigterm answers what was taken, in time": """
+        a send job 1 once 1200
+        w0 gets 1
+        node drain
+        w0 send serve 1
+        a expect 200 OK.*made
+    """,
+}
+
+
+@pytest.mark.parametrize("site_name", SITES)
+@pytest.mark.parametrize("scene_name", AT_ANY_SITE)
+def test_scene_at_any_site(site_name: str, scene_name: str) -> None:
+    scene = Scene(facts=SITES[site_name])
+    try:
+        scene.play(AT_ANY_SITE[scene_name])
+    finally:
+        scene.close()
