A watch that falls silent is opened anew at once, however many dispatchers there are

A silent watch is given up 12.5 s after its call, and Discovery.failed then paused as after a refusal, 3.3 to 6.7 s of 200 dispatchers; what it missed counts as told at 12 s and may be used until 14 s. Change: SOON (0.3 s) for a silent watch; no pause as long as the settings' ask-within; the loop waits three times during a start.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,8 +7,10 @@
 
 import pytest
 from harness import SAFE, UNSAFE, Caller
+from scenario import FACTS
 
 from wickgw import interface as i
+from wickgw.facts import read_settings
 from wickgw.net.discovery import backoff
 
 MANY = 40
@@ -117,8 +119,16 @@
                 served = max(served, over)
                 continue
         failures[n] += 1
-        most = backoff(failures[n], MANY)
+        most = backoff(failures[n], MANY, 10.0)
         heapq.heappush(due, (over + rng.uniform(most / 2, most), n))
         assert over < 120.0, "nobody is served any more"
     assert served < 40.0  # 8 s of work
-    assert backoff(1, 3) == 0.1 and backoff(9, 3) == 2.0  # a small fleet asks as before
+    assert backoff(1, 3, 10.0) == 0.1 and backoff(9, 3, 10.0) == 2.0  # a small fleet asks as before
+
+
+def test_no_pause_is_as_long_as_a_site_allows_without_asking() -> None:
+    """What is listed counts as told then, asked for or not."""
+    assert read_settings(FACTS | {"rules": {"ask-within-ns": 3_000_000_000}}).ask_within == 3.0
+    for within in (0.5, 3.0, 10.0):
+        for dispatchers in (1, 3, 40, 1000):
+            assert max(backoff(n, dispatchers, within) for n in range(40)) < within
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import errno
+import random
 import socket
+import time
 from types import SimpleNamespace
 from typing import Any
 
@@ -618,6 +620,28 @@
     )
 
 
+def test_silent_watch_is_opened_anew_at_once_however_many_dispatchers_there_are(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Of 200 each pauses 3 to 7 s after a refusal. What a silent watch missed counts as told before that."""
+    monkeypatch.setattr(discovery, "WAIT", 0.05)
+    monkeypatch.setattr(discovery, "IN_LINE", 0.1)
+    assert discovery.backoff(1, 200, 10.0) / 2 > 3.0
+    pauses = list[tuple[float, float]]()
+    monkeypatch.setattr(random, "uniform", lambda a, b: pauses.append((a, b)) or b)  # type: ignore[func-returns-value]
+    scene = Scene(facts={"siblings": 200})
+    try:
+        scene.play("d send list 5 whole w1\nd expect index=5\nd/2 expect index=5")
+        assert pauses == [(0, discovery.SOON)]
+        scene.play("d/2 close hard")  # refused or lost, it is no silence: the fleet's pause is kept
+        end = time.monotonic() + 10
+        while len(pauses) < 2 and time.monotonic() < end:
+            scene.play("node wait taken 0")
+        assert pauses[1][0] > 3.0
+    finally:
+        scene.close()
+
+
 def test_new_discovery_that_is_silent_at_first_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "LATE", 0.1)
     monkeypatch.setattr(discovery, "IN_LINE", 0.1)
--- a/wickgw/facts.py
+++ b/wickgw/facts.py
@@ -48,6 +48,7 @@
         zone=facts.get("zone", 0),
         zones=tuple(facts.get("zones") or ()),
         ask_for_list=facts.get("discovery") == "ask",
+        ask_within=rules.get("ask-within-ns", 10 / NS) * NS,
         tells_start=family.get("tells-start", False),
         progress_every=family.get("progress-ns", 0) * NS,
         idle_close=bounds.get("conn-idle-ns", 60 / NS) * NS,
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -28,15 +28,22 @@
 IN_LINE = 2.5
 FIRST_BACKOFF, MOST_BACKOFF = 0.05, 2.0  # seconds, for a fleet of FEW; more callers keep as many times longer
 FEW, LONGEST_BACKOFF = 3, 8.0
+# Of the time without a call after which what is listed counts as told: a pause, and the call after it, fit.
+OF_WITHIN = 0.8
+# Seconds, at the longest, until a watch that fell silent is opened anew. What it missed counts as told 2 s
+# after its wait, and IN_LINE is over by then: after a pause as long as a fleet's, jobs would still go to those
+# that drain.
+SOON = 0.3
 MAX_LIST = 4 << 20
 REBUILT = 5  # whole lists in a row of an older version until it is believed that discovery began anew
 
 
-def backoff(failures: int, dispatchers: int) -> float:
+def backoff(failures: int, dispatchers: int, within: float) -> float:
     """The longest pause after so many failures in a row. All of us ask the same service, and after a release
-    or a loss all at once: what one may ask in a second gets less with the number of those who ask."""
+    or a loss all at once: what one may ask in a second gets less with the number of those who ask. No pause is as
+    long as `within`, the seconds that may pass without asking."""
     callers = max(1.0, dispatchers / FEW)
-    most = min(MOST_BACKOFF * callers, LONGEST_BACKOFF)
+    most = min(MOST_BACKOFF * callers, LONGEST_BACKOFF, OF_WITHIN * within)
     return min(most, FIRST_BACKOFF * callers * 2.0 ** min(failures, 10))
 
 
@@ -153,12 +160,14 @@
         reader: ListReader,
         tell: Callable[[i.ListKind, list[Target]], None],
         dispatchers: int,
+        within: float,
     ) -> None:
         self.loop, self.sockets, self.where, self.reader, self.tell = loop, sockets, where, reader, tell
-        self.dispatchers = dispatchers
+        self.dispatchers, self.within = dispatchers, within
         self.version: int | None = None  # of the list that is held
         self.confirmed = False  # that version is from discovery itself, not from the list known at the start
         self.failures = 0
+        self.watching = False  # the call that is out is a watch
         self.older = 0  # whole lists in a row that were older than ours
         self.ask_whole = False  # though a version is held: it is not to be built on
         self.connection: DiscoveryConnection | None = None
@@ -176,6 +185,7 @@
 
     def open(self) -> None:
         """Connect and ask. Any failure is tried again after a growing pause."""
+        self.watching = False
         self._wait(LATE, self._silent)
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -216,7 +226,8 @@
 
     def _ask(self) -> None:
         assert self.connection is not None
-        if self.version is None or self.ask_whole:
+        self.watching = self.version is not None and not self.ask_whole
+        if not self.watching:
             self._wait(LATE + IN_LINE, self._silent)
             self.connection.call("/api/targets", self.where)
         else:
@@ -247,19 +258,20 @@
             self._lose(connection)
             self.open()
 
-    def failed(self, connection: DiscoveryConnection | None, why: str) -> None:
-        """Discovery is out of reach or talks nonsense: the list is kept, and it is asked again in a while."""
+    def failed(self, connection: DiscoveryConnection | None, why: str, soon: bool = False) -> None:
+        """Discovery is out of reach or talks nonsense: the list is kept, and it is asked again in a while, or
+        at once if it is only the way to it that is broken."""
         if self.closed or connection is not self.connection:
             return
         self._lose(connection)
         self.failures += 1
-        most = backoff(self.failures, self.dispatchers)
+        most = SOON if soon else backoff(self.failures, self.dispatchers, self.within)
         if self.failures in (1, 10, 100):
             log.warning("discovery.failed", why=str(why), failures=self.failures)
-        self._wait(random.uniform(most / 2, most), self.open)
+        self._wait(random.uniform(0 if soon else most / 2, most), self.open)
 
     def _silent(self) -> None:
-        self.failed(self.connection, "silent")
+        self.failed(self.connection, "silent", soon=self.watching and self.failures == 0)
 
     def _wait(self, seconds: float, then: Callable[[], None]) -> None:
         if self.timer is not None:
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -51,8 +51,15 @@
         self.pools = Pools(config, loop, clock, self.sockets, table, zone_header)
         self.clients = Clients(loop, self.sockets, self.pools, config.settings, self.report)
         reader = ListReader(clock, config.settings.zones)
+        settings = config.settings
         self.discovery = Discovery(
-            loop, self.sockets, config.discovery, reader, self._told, config.settings.dispatchers
+            loop,
+            self.sockets,
+            config.discovery,
+            reader,
+            self._told,
+            settings.dispatchers,
+            settings.ask_within,
         )
         self.address = self._address(clock)
         self.mgmt: Mgmt | None = None  # the second address, once listened at
--- a/wickgw/start.py
+++ b/wickgw/start.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from wickgw.config.schema import Operator
 
+TURN = 0.001  # seconds that the loop waits between the parts of a start
 EARLY = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
 
@@ -65,7 +66,13 @@
 async def _serve(
     config: Config, operator: "Operator | None", sources: Sources, opened: Opened, early: list[int]
 ) -> None:
-    await asyncio.sleep(0.001)  # others that start beside this one get their turn before the large part
+    # Others that start beside this one get their turn before each large part: hundreds on a few cores would
+    # each go without one for the whole of all their starts.
+    await asyncio.sleep(TURN)
+    import numpy  # noqa: F401
+
+    await asyncio.sleep(TURN)
     from wickgw.node import run
 
+    await asyncio.sleep(TURN)
     await run(config, operator, sources, opened, early)
--- a/wickgw/validate.py
+++ b/wickgw/validate.py
@@ -16,6 +16,7 @@
         "classes.worth": any(not 0 <= c.worth < math.inf for c in s.classes),
         "tenants.quota": any(not t.quota >= 0 for t in s.tenants),
         "dispatchers": s.dispatchers < 1,
+        "ask_within": not s.ask_within > 0,
         "max_attempts": s.max_attempts < 1,
         "idle_close": not s.idle_close > 0,
         "progress_every": not s.progress_every >= 0,
