--- a/wickgw/emulator/group.py
+++ b/wickgw/emulator/group.py
@@ -56,6 +56,8 @@
         extra: str = "",
         service_extra: str = "",
         on: bool = True,
+        discovery: str = "127.0.0.1:1",
+        known: list[dict[str, object]] | None = None,
     ) -> None:
         self.folder, self.names = folder, "abcdefg"[:count]
         self.workers = [Worker(f"w{n}", run_s) for n in range(4)]
@@ -64,6 +66,7 @@
         self.service = ("127.0.0.1", free_port(socket.SOCK_STREAM))
         self.own = {name: ("127.0.0.1", free_port(socket.SOCK_STREAM)) for name in self.names}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.discovery, self.known = discovery, known  # known: the workers', if none is given
         self.extra, self.service_extra, self.on = extra, service_extra, "yes" if on else "no"
         self.key = folder / "address.key"
         add_key(self.key)
@@ -72,8 +75,9 @@
 
     def write(self, name: str) -> None:
         """The files of one instance."""
-        known = {"rev": 1, "all": True, "targets": [w.listed() for w in self.workers]}
-        config = {"name": name, "listen": "{}:{}".format(*self.own[name]), "discovery": "127.0.0.1:1"}
+        targets = [w.listed() for w in self.workers] if self.known is None else self.known
+        known = {"rev": 1, "all": True, "targets": targets}
+        config = {"name": name, "listen": "{}:{}".format(*self.own[name]), "discovery": self.discovery}
         config |= {"seed": 1, "limits": {"memory_mb": 192, "sockets": 1024}, "known": known}  # type: ignore[dict-item]
         (self.folder / f"{name}.json").write_text(json.dumps(config | {"settings": SETTINGS}))
         own = "{}:{}".format(*self.where[name])
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -31,8 +31,8 @@
 # Of the time without a call after which what is listed counts as told: a pause, and the call after it, fit.
 OF_WITHIN = 0.8
 # Seconds, at the longest, until a watch that fell silent is opened anew. What it missed counts as told 2 s
-# after its wait, and IN_LINE is over by then: after a pause as long as a fleet's, jobs would still go to those
-# that drain.
+# after its wait, and IN_LINE is over by then: after a pause as long as a fleet's, jobs would still go to
+# workers that drain.
 SOON = 0.3
 MAX_LIST = 4 << 20
 REBUILT = 5  # whole lists in a row of an older version until it is believed that discovery began anew
@@ -40,8 +40,8 @@
 
 def backoff(failures: int, dispatchers: int, within: float) -> float:
     """The longest pause after so many failures in a row. All of us ask the same service, and after a release
-    or a loss all at once: what one may ask in a second gets less with the number of those who ask. No pause is as
-    long as `within`, the seconds that may pass without asking."""
+    or a loss all at once: what one may ask in a second gets less with the number of those who ask. No pause
+    is as long as `within`, the seconds that may pass without asking."""
     callers = max(1.0, dispatchers / FEW)
     most = min(MOST_BACKOFF * callers, LONGEST_BACKOFF, OF_WITHIN * within)
     return min(most, FIRST_BACKOFF * callers * 2.0 ** min(failures, 10))
