--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -190,3 +190,21 @@
     first = clock.at_unix_ms(1_700_000_000_123)
     assert all(clock.at_unix_ms(1_700_000_000_123) == first for _ in range(100))
     assert clock.at_unix_ms(0) is None
+
+
+def test_longest_step_of_the_decisions_is_kept_with_what_it_was_on() -> None:
+    """Beside the longest stall it tells one that stands still in its own code from one that is starved."""
+    turned = [100.0]
+
+    def reply(event: i.Event) -> list[i.Action]:
+        turned[0] += {"r1": 0.02, "r2": 0.08, "r3": 0.04}.get(getattr(event, "request", ""), 0.0)
+        return []
+
+    def play(dispatcher: Dispatcher, sides: Sides) -> None:
+        dispatcher.clock.now = lambda: turned[0]
+        for name in ("r1", "r2", "r3"):
+            dispatcher.take(context(dispatcher, sides, name))
+
+    _, _, dispatcher = run(reply, play)
+    seconds, on = dispatcher.longest
+    assert round(seconds, 6) == 0.08 and on == "Arrival"
--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -119,6 +119,7 @@
         self.contexts: dict[str, RequestContext] = {}
         self.counters: Counter[str] = Counter()
         self.max_stall = 0.0
+        self.longest: tuple[float, str] = (0.0, "")  # the longest step of the decisions: seconds, and on what
         self.stop_by: float | None = None  # the process ends then
         self._events: deque[i.Event] = deque()
         self._running = False
@@ -232,14 +233,19 @@
             self._running = False
 
     def _handle(self, event: i.Event) -> None:
+        began = self.clock.now()
         try:
-            actions = self.balancer.handle(event, self.clock.now())
+            actions = self.balancer.handle(event, began)
         except Exception:  # one event's loss; what it was about is answered by its guard at the latest
             self.counters["errors"] += 1
             log.exception("balancer.failed", on=type(event).__name__)
             if isinstance(event, i.Timer):  # a tick that is lost would be the last one
                 self._run(i.Wake(event.name, 0.1))
             return
+        if (took := self.clock.now() - began) > self.longest[0]:
+            self.longest = took, event.name if isinstance(event, i.Timer) else type(event).__name__
+            if took > STALL:  # each is longer than all before it: a few lines in a process's life
+                log.warning("step.long", on=self.longest[1], ms=round(took * 1000, 1))
         for action in actions:
             try:
                 self._run(action)
--- a/wickgw/net/pools.py
+++ b/wickgw/net/pools.py
@@ -279,6 +279,7 @@
     def report(self) -> dict[str, object]:
         """What is held, over all pools; and each pool's own, where there are routes."""
         every = self.all
+        longest, on = max(s.dispatcher.longest for s in every)
         now: dict[str, object] = {
             "owed": self.owed,
             "tries_out": sum(len(s.peers.tries) for s in every),
@@ -286,6 +287,8 @@
             "peers": len({worker for s in every for worker in s.peers.peers}),
             "peer_connections_opened": sum(s.peers.opened for s in every),
             "max_stall_ms": round(max(s.dispatcher.max_stall for s in every) * 1000, 1),
+            "longest_step_ms": round(longest * 1000, 1),
+            "longest_step_on": on,
         }
         if self.table is None:
             return {"now": now}
