One reader of the operator's file's text, one start value of a share, one listener in tests

Need: reading the whole change again: _sections and _read each checked size and errors of the same file, and a file of remarks that is not UTF-8 had come to be taken; Bucket held a start value that was never used; two tests on the wire had the same listener. Change: config.ini._text reads once and serves both; Bucket's first use needs no case; tests use overheard(). A file of remarks that is not UTF-8 is refused again, as before the start was changed; nothing else behaves otherwise.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -347,6 +347,19 @@
     assert read_settings(FACTS | facts).free_slots == field
 
 
+def overheard(scene: Scene, kind: type) -> list[Any]:
+    """The events of a kind that the decisions are told, as they come."""
+    told, handle = list[Any](), scene.node.dispatcher.balancer.handle
+
+    def listen(event: i.Event, now: float) -> list[i.Action]:
+        if isinstance(event, kind):
+            told.append(event)
+        return handle(event, now)
+
+    scene.node.dispatcher.balancer.handle = listen  # type: ignore[method-assign]
+    return told
+
+
 LAST = '{"id":"1","state":"failed","load":{"x0":3.0}}'
 QUOTED = LAST.replace('"', '\\"')
 
@@ -362,32 +375,18 @@
     ],
 )  # fmt: skip
 def test_load_report_on_the_wire_comes_with_the_outcome(reply: str, ends: str, free: float | None) -> None:
-    scene, told = Scene(known="w0 w1", facts=REPORTS | FAMILY), list[float | None]()
-    handle = scene.node.dispatcher.balancer.handle
-
-    def listen(event: i.Event, now: float) -> list[i.Action]:
-        if isinstance(event, i.Outcome):
-            told.append(event.free)
-        return handle(event, now)
-
-    scene.node.dispatcher.balancer.handle = listen  # type: ignore[method-assign]
+    scene = Scene(known="w0 w1", facts=REPORTS | FAMILY)
+    told = overheard(scene, i.Outcome)
     try:
         scene.play(f"a send job 1 once\np gets 1\np send {reply}\nnode wait {ends} 1")
-        assert told[0] == free
+        assert told[0].free == free
     finally:
         scene.close()
 
 
 def test_progress_on_the_wire_tells_its_share_and_nonsense_costs_nothing() -> None:
-    scene, told = Scene(), list[float]()
-    handle = scene.node.dispatcher.balancer.handle
-
-    def listen(event: i.Event, now: float) -> list[i.Action]:
-        if isinstance(event, i.Progress):
-            told.append(event.share)
-        return handle(event, now)
-
-    scene.node.dispatcher.balancer.handle = listen  # type: ignore[method-assign]
+    scene = Scene()
+    told = overheard(scene, i.Progress)
     shares: list[Any] = [0.4, "x", [], 7]
     lines = [json.dumps({"id": "1", "state": "running", "share": s}) + "\n" for s in shares]
     chunks = "".join(f"{len(line):x}~{line}~" for line in lines).replace("\n", "\\n").replace('"', '\\"')
@@ -396,7 +395,7 @@
             f'a send job 1 once\nw0 gets 1\nw0 send take\nw0 send event started 1\nw0 send raw "{chunks}"'
         )
         scene.play("w0 send done 1\na expect 200 OK.*made")
-        assert told == [0.4, 0.0, 0.0, 0.0]
+        assert [event.share for event in told] == [0.4, 0.0, 0.0, 0.0]
     finally:
         scene.close()
 
--- a/wickgw/books.py
+++ b/wickgw/books.py
@@ -242,12 +242,11 @@
     """What comes within a rate, of which a second's worth may come at once."""
 
     def __init__(self, rate: float) -> None:
-        self.rate, self.left, self.then = rate, max(rate, 1.0), -math.inf
+        self.rate, self.left, self.then = rate, rate, math.inf
 
     def take(self, now: float) -> bool:
         """One more has come; whether it is within the rate."""
-        full = max(self.rate, 1.0)
-        held = min(full, self.left + self.rate * (now - self.then)) if self.then > -math.inf else self.rate
+        held = min(max(self.rate, 1.0), self.left + self.rate * max(0.0, now - self.then))
         self.left, self.then = max(0.0, held - 1), now
         return held >= 1
 
--- a/wickgw/config/ini.py
+++ b/wickgw/config/ini.py
@@ -22,13 +22,14 @@
     if path is None and not DEFAULT.exists():
         return None
     path = path or DEFAULT
-    if not _sections(path):  # all is off: a file of remarks costs nothing
-        return None
-    raw, lines = _read(path)
+    text = _text(path)
+    if all(not line.strip() or line.lstrip()[0] in "#;" for line in text.splitlines()):
+        return None  # all is off: a file of remarks costs nothing
+    raw, lines = _read(path, text)
     if not raw:
         return None
     for beside in raw.get("routing", {}).get("expectations", "").split():
-        more, more_lines = _read(path.parent / beside)
+        more, more_lines = _read(path.parent / beside, _text(path.parent / beside))
         for title in more:
             if title.partition(":")[0] not in ("expect", "worker"):
                 raise ConfigError(
@@ -41,32 +42,26 @@
     return _checked(path, raw, lines)
 
 
-def _sections(path: Path) -> bool:
-    """Whether a file holds more than remarks, and its reader has to look at it. Raises ConfigError."""
+def _text(path: Path) -> str:
+    """A file's text. Raises ConfigError."""
     try:
         if path.stat().st_size > MOST:
             raise ConfigError(f"{path}: larger than {MOST} bytes")
-        lines = path.read_bytes().splitlines()
+        return path.read_text("utf-8")
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from error
-    return any(line.strip() and line.lstrip()[:1] not in b"#;" for line in lines)
+    except UnicodeDecodeError as error:
+        raise ConfigError(f"{path}: not UTF-8 at byte {error.start}") from error
 
 
-def _read(path: Path) -> tuple[dict[str, dict[str, str]], dict[str, int]]:
+def _read(path: Path, text: str) -> tuple[dict[str, dict[str, str]], dict[str, int]]:
     """The sections of a file, and the line on which each begins. Raises ConfigError."""
     import configparser
 
     parser = configparser.ConfigParser(interpolation=None, delimiters=("=",), default_section="")
     parser.optionxform = str  # type: ignore[assignment]
     try:
-        if path.stat().st_size > MOST:
-            raise ConfigError(f"{path}: larger than {MOST} bytes")
-        text = path.read_text("utf-8")
         parser.read_string(text, str(path))
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from error
-    except UnicodeDecodeError as error:
-        raise ConfigError(f"{path}: not UTF-8 at byte {error.start}") from error
     except configparser.Error as error:
         raise ConfigError(" ".join(str(error).split())) from error
     numbered = enumerate(text.splitlines(), 1)
