Discovery is waited for by the drains' grace; a pushed list's agent is asked at once

So WAIT + IN_LINE (12.5 s, discovery.py) gave the watch up 0.5 s after what it missed counted as told (wait + 2 s); a grace of 2 s hides it by 1.2 s, one of 0.7 s does not. Read beside it: Discovery.failed paused backoff(1, 200) = 3.3 to 6.7 s after a reset watch and after a second silence, though the agent's news counts at once; a new process sent by its old list first. Change: Pace works all waits out from the settings. Pushed lists: a watch waits 3 s, the first call on a connection does not wait, an answer is missed after a quarter of the grace (0.25 to 1 s), pauses are at most half of that; the list known at the start serves once the agent was asked. Asked lists: a watch is given up a second before its grace is over, twice in a row without a fleet's pause. Failed without it: test_reset_watch_is_opened_anew: "At index 0 diff: 3.33 != 0.025"; silent again: "[(0, 0.3), (4.0, 8.0)] == [(0.0, 0.3), (0.0, 0.3)]"; SIGHUP: "at 'e/3 expect GET /api/targets': no connection came"; new process: sends by the old list. Scenes and stand-in fleets that count calls of an overbooked service now say that it is asked; the old bound on the pause after a reset holds there, and test_endings.py holds the pushed one. Ruled out: the module (it sends nothing to a worker it was told of).

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -44,6 +44,7 @@
     "bounds": {"attempts-cap": 3, "cancel": True, "connect-timeout-ns": 250 * MS, "conn-idle-ns": 60000 * MS},
     "family-info": {"tells-start": True, "progress-ns": 1000 * MS, "class-stretch": [20.0, 20.0]},
     "zones": ["atlanta", "memphis"],
+    "discovery": "ask",  # scenes of lists that are pushed say so: test_endings.py
 }
 
 
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,220 @@
+"""Moments in which something ends while something is still owed: docs/design/endings.md lists them.
+
+Each scene forces the bad order every time: replies are held back, connections are kept from opening, and the
+waits that the settings lead to are made short; nothing sleeps for an order's sake."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+from scenario import FACTS, MS, PATIENCE, Scene
+
+from wickgw.facts import read_settings
+from wickgw.net import discovery
+from wickgw.net.discovery import Pace
+from wickgw.net.peers import PeerConnection
+
+PUSHED: dict[str, Any] = {"discovery": "push", "siblings": 200}
+SLOW_TO_OPEN: dict[str, Any] = {"bounds": FACTS["bounds"] | {"connect-timeout-ns": 10_000 * MS}}
+
+
+def played(text: str, **more: Any) -> None:
+    scene = Scene(**more)
+    try:
+        scene.play(text)
+    finally:
+        scene.close()
+
+
+def grace(seconds: float) -> dict[str, Any]:
+    return {"rules": {"drain-grace-ns": int(seconds * 1000 * MS)}}
+
+
+class Gate:
+    """Connections to peers stay in their opening until it is opened: the step between a connection that is
+    up and the first byte written on it is held."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.held: list[PeerConnection] = []
+        self.shut, real = True, PeerConnection._connected
+
+        def connected(connection: PeerConnection) -> None:
+            if self.shut:
+                assert connection.sock is not None
+                connection.peers.loop.remove_writer(connection.sock.fileno())
+                self.held.append(connection)
+            else:
+                real(connection)
+
+        self.real: Callable[[PeerConnection], None] = real
+        monkeypatch.setattr(PeerConnection, "_connected", connected)
+
+    def wait(self, scene: Scene, count: int) -> None:
+        end = time.monotonic() + PATIENCE
+        while len(self.held) < count:
+            assert time.monotonic() < end, "no connection is opening"
+            scene.play("node wait taken 0")
+
+    def open(self, scene: Scene) -> None:
+        self.shut = False
+
+        async def go() -> None:
+            for connection in self.held:
+                if connection.sock is not None:
+                    self.real(connection)
+
+        asyncio.run_coroutine_threadsafe(go(), scene.loop).result(PATIENCE)
+
+
+@pytest.fixture
+def gate(monkeypatch: pytest.MonkeyPatch) -> Iterator[Gate]:
+    yield Gate(monkeypatch)
+
+
+def settle(scene: Scene) -> None:
+    """All that was written before has been read: the dispatcher has answered a call that came later."""
+    scene.play("z send get /-/healthy\nz expect ok")
+
+
+# The list: news counts as told whether or not it arrived.
+
+
+@pytest.mark.parametrize("wanted", [0.2, 0.7, 2.0, 3.5, 8.0])
+@pytest.mark.parametrize("mode", ["push", "ask"])
+@pytest.mark.parametrize("siblings", [1, 3, 200, 2000])
+def test_what_a_silent_watch_missed_is_fetched_within_the_grace(
+    wanted: float, mode: str, siblings: int
+) -> None:
+    """The sums, for any settings: from a call to its giving up, the pause, the call that brings the news."""
+    pace = Pace(read_settings(FACTS | {"discovery": mode, "siblings": siblings} | grace(wanted)))
+    told = max(discovery.TOLD, pace.wait + discovery.TOLD_AFTER_WAIT)  # silent from the moment of the call
+    given_up = pace.wait + pace.silence
+    if mode == "push":
+        # It is silent a second time: the call after it, which does not wait, is given up as well.
+        again = given_up + pace.pause(1, True)[1] + discovery.CHECK + pace.silence
+        assert again + pace.pause(2, True)[1] + discovery.LEAST_ANSWER < told + wanted
+        # What the agent has counts at once, open watch or not: a reset one is opened anew within the grace.
+        lost = pace.pause(1, False)[1]
+        assert lost < 0.1 and all(pace.pause(n, False)[1] <= max(0.125, wanted / 8) for n in range(1, 40))
+    elif wanted >= 0.7:
+        assert given_up + pace.pause(1, True)[1] + discovery.FETCH <= told + wanted + 1e-9
+        assert all(pace.pause(n, False)[1] + discovery.FETCH < discovery.TOLD + wanted for n in range(1, 40))
+
+
+def test_reset_watch_is_opened_anew_at_once_where_lists_are_pushed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Of 200 dispatchers each paused 3 to 7 s, and sent to workers that drained since for as long."""
+    pauses = list[tuple[float, float]]()
+    monkeypatch.setattr(random, "uniform", lambda a, b: pauses.append((a, b)) or b)  # type: ignore[func-returns-value]
+    scene = Scene(known="", facts=PUSHED)
+    try:
+        scene.play("d send list 5 whole w0 w1\nd expect index=5&\nd close hard")
+        scene.play("d/2 expect index=5&\nd/2 send list 6 part w0=draining\nd/2 expect index=6&")
+        scene.play("a send job 1\nw1 gets 1")
+        assert pauses[0] == (0.025, 0.05)
+    finally:
+        scene.close()
+
+
+def test_watch_that_is_silent_twice_or_stops_half_way_is_opened_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "WAIT", 0.05)
+    played(
+        """
+        d send list 5 whole w0 w1
+        d expect index=5&wait=50 HTTP
+        d/2 expect index=5&wait=1 HTTP
+        d/3 expect index=5&wait=1 HTTP
+        d/3 send raw "HTTP/1.1 200 OK~Content-Length: 500~~{"
+        d/4 expect index=5&wait=1 HTTP
+        d/4 send list 6 part w0=draining
+        d/4 expect index=6&wait=50 HTTP
+        a send job 1
+        w1 gets 1
+        """,
+        known="",
+        facts=PUSHED | grace(0.4),
+    )
+
+
+def test_agent_whose_connection_never_comes_up_is_tried_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The first attempt after the loss is kept from coming up; the agent's queue takes the next one."""
+    scene, real, calls = Scene(known="", facts=PUSHED | grace(0.4)), discovery.Discovery._writable, [0]
+
+    def writable(self: discovery.Discovery) -> None:
+        calls[0] += 1
+        if calls[0] > 1:
+            real(self)
+        elif self.opening is not None:
+            self.loop.remove_writer(self.opening.fileno())
+
+    try:
+        scene.play("d send list 5 whole w0 w1\nd expect index=5&")
+        monkeypatch.setattr(discovery.Discovery, "_writable", writable)
+        scene.play("d close hard\nd/2 expect end\nd/3 expect index=5&")
+    finally:
+        scene.close()
+
+
+def test_asked_watch_that_is_silent_again_is_not_paused_as_after_a_refusal(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(discovery, "WAIT", 0.05)
+    monkeypatch.setattr(discovery, "IN_LINE", 0.1)
+    pauses = list[tuple[float, float]]()
+    monkeypatch.setattr(random, "uniform", lambda a, b: pauses.append((a, b)) or a)  # type: ignore[func-returns-value]
+    played(
+        "d send list 5 whole w1\nd expect index=5\nd/2 expect index=5\nd/3 expect index=5",
+        facts={"discovery": "ask", "siblings": 200},
+    )
+    assert pauses[:2] == [(0.0, discovery.SOON)] * 2
+
+
+def test_new_process_sends_nothing_by_the_old_list_before_the_agent_has_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the agent has counts as told from the first moment of a process, and it answers at once."""
+    # The agent's answer is held back for as long as the scene likes.
+    monkeypatch.setattr(discovery, "FIRST_ANSWER", PATIENCE)
+    monkeypatch.setattr(discovery, "LEAST_ANSWER", PATIENCE)
+    monkeypatch.setattr(discovery, "OF_AIM", 0.001)
+    played(
+        """
+        d expect index=7&wait=1 HTTP
+        a send job 1 look 4000
+        r send get /-/ready
+        r expect ^HTTP/1.1 503
+        node wait owed 1
+        node wait tries_out 0
+        d send list 9 part w0=draining w1
+        w1 gets 1
+        d expect index=9&wait=3000
+        """,
+        version=7,
+        facts=PUSHED,
+    )
+
+
+def test_new_process_serves_by_the_old_list_if_the_agent_is_silent() -> None:
+    played("a send job 1\nw0 gets 1\nw0 send serve 1\na expect made", facts=PUSHED)
+
+
+def test_after_sighup_the_new_agent_is_asked_until_it_answers() -> None:
+    played(
+        """
+        d send list 5 whole w0 w1
+        d expect index=5&
+        node reload e
+        e expect GET /api/targets HTTP
+        e close hard
+        e/2 expect GET /api/targets HTTP
+        e/3 expect GET /api/targets HTTP
+        e/3 send list 1 whole w0=draining w1
+        e/3 expect index=1&
+        a send job 1
+        w1 gets 1
+        """,
+        known="",
+        facts=PUSHED | grace(0.4),
+    )
--- a/wickgw/emulator/group.py
+++ b/wickgw/emulator/group.py
@@ -34,6 +34,7 @@
     },
     "family-info": {"tells-start": True, "progress-ns": 1000 * MS, "class-stretch": [20.0, 20.0]},
     "zones": ["east"],
+    "discovery": "ask",
 }
 ADDRESS = "labels"
 
--- a/wickgw/facts.py
+++ b/wickgw/facts.py
@@ -49,6 +49,7 @@
         zones=tuple(facts.get("zones") or ()),
         ask_for_list=facts.get("discovery") == "ask",
         ask_within=rules.get("ask-within-ns", 10 / NS) * NS,
+        drain_grace=rules.get("drain-grace-ns", 2 / NS) * NS,
         tells_start=family.get("tells-start", False),
         progress_every=family.get("progress-ns", 0) * NS,
         idle_close=bounds.get("conn-idle-ns", 60 / NS) * NS,
--- a/wickgw/interface.py
+++ b/wickgw/interface.py
@@ -90,6 +90,7 @@
     zones: tuple[str, ...] = ()  # the names of the zones, by their index
     ask_for_list: bool = False  # the list must be asked for (Subscribe); else it comes unasked
     ask_within: float = 10.0  # seconds without asking or watching after which what is listed counts as told
+    drain_grace: float = 2.0  # seconds after the news of a drain in which sends may still go there
     tells_start: bool = False  # workers tell when a job starts
     progress_every: float = 0.0  # seconds between progress notes; 0: none
     idle_close: float = 60.0  # seconds after which the caller closes an unused connection
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -22,6 +22,8 @@
 
 log = logger("wickgw")
 WAIT = 10.0  # seconds that a watch may stay silent because nothing changes
+# Seconds after which news counts as told, arrived or not: since a watch fell silent; since its wait was over.
+TOLD, TOLD_AFTER_WAIT = 6.0, 2.0
 LATE = 1.5  # seconds until silence means that discovery, or the way to it, is down
 # An overbooked service serves calls in turn, the wait of a watch begins in its turn, and a call that
 # is given up costs it its work all the same: its place in the line is worth more than asking anew.
@@ -33,7 +35,13 @@
 # Seconds, at the longest, until a watch that fell silent is opened anew. What it missed counts as told 2 s
 # after its wait, and IN_LINE is over by then: after a pause as long as a fleet's, jobs would still go to
 # workers that drain.
-SOON = 0.3
+SOON, SOON_TIMES = 0.3, 2  # how often in a row: what is silent each time is down
+FETCH = 1.0  # seconds left for the call that brings what was missed
+# Where lists are pushed an agent on this machine answers at once, and what it has counts as told: an answer
+# is waited for so many times shorter than the drains' grace, within bounds in seconds.
+OF_GRACE, LEAST_ANSWER, MOST_ANSWER = 4, 0.25, 1.0
+FIRST_ANSWER, OF_AIM = 0.1, 4  # seconds that jobs wait for it at a start, or this part of the least aim
+CHECK = 0.001  # seconds of the wait that shows whether the agent speaks, and brings what was missed
 MAX_LIST = 4 << 20
 REBUILT = 5  # whole lists in a row of an older version until it is believed that discovery began anew
 
@@ -47,6 +55,35 @@
     return min(most, FIRST_BACKOFF * callers * 2.0 ** min(failures, 10))
 
 
+class Pace:
+    """How long discovery is waited for and left alone, by when the settings call its news told."""
+
+    def __init__(self, settings: i.Settings) -> None:
+        self.pushed = not settings.ask_for_list
+        self.dispatchers, grace = settings.dispatchers, settings.drain_grace
+        # One who is asked by nobody may learn so late, and no later, where one call a change is dear.
+        self.within = min(settings.ask_within, (TOLD + grace - 1.5 * FETCH) / OF_WITHIN)
+        if self.pushed:
+            # Two watches may fall silent one after the other before what the first missed counts as told.
+            self.wait = min(WAIT, TOLD / 2)
+            self.answer = max(LEAST_ANSWER, min(MOST_ANSWER, grace / OF_GRACE))
+            self.opening = self.whole = self.silence = self.answer
+            self.first = min(FIRST_ANSWER, min(c.aim for c in settings.classes) / OF_AIM)
+        else:
+            self.wait, self.opening, self.whole = WAIT, LATE, LATE + IN_LINE
+            self.silence = max(LEAST_ANSWER, min(IN_LINE, TOLD_AFTER_WAIT + grace - SOON - FETCH))
+
+    def pause(self, failures: int, soon: bool) -> tuple[float, float]:
+        """The shortest and the longest pause after so many failures in a row."""
+        if self.pushed:  # the agent serves nobody but us: only a loop without any pause would cost something
+            most = min(self.answer / 2, FIRST_BACKOFF * 2.0 ** min(failures - 1, 10))
+            return most / 2, most
+        if soon:
+            return 0.0, SOON
+        most = backoff(failures, self.dispatchers, self.within)
+        return most / 2, most
+
+
 class Target(NamedTuple):
     """One worker of the list."""
 
@@ -159,15 +196,18 @@
         where: str,
         reader: ListReader,
         tell: Callable[[i.ListKind, list[Target]], None],
-        dispatchers: int,
-        within: float,
+        unheard: Callable[[], None],
+        pace: Pace,
     ) -> None:
         self.loop, self.sockets, self.where, self.reader, self.tell = loop, sockets, where, reader, tell
-        self.dispatchers, self.within = dispatchers, within
+        self.unheard, self.pace = unheard, pace
+        self.heard = False  # the first call has ended, well or not, and the owner was told
         self.version: int | None = None  # of the list that is held
         self.confirmed = False  # that version is from discovery itself, not from the list known at the start
         self.failures = 0
-        self.watching = False  # the call that is out is a watch
+        self.soon = SOON_TIMES  # silences after which what was missed is asked for at once
+        self.missing = False  # news may be missed while the call that is out is silent
+        self.checked = False  # this connection has brought an answer
         self.older = 0  # whole lists in a row that were older than ours
         self.ask_whole = False  # though a version is held: it is not to be built on
         self.connection: DiscoveryConnection | None = None
@@ -185,8 +225,8 @@
 
     def open(self) -> None:
         """Connect and ask. Any failure is tried again after a growing pause."""
-        self.watching = False
-        self._wait(LATE, self._silent)
+        self.checked = False
+        self._wait(self.pace.opening, self._silent)
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         except OSError as error:
@@ -204,6 +244,7 @@
         own, so the version held says nothing of them; the list itself is kept until the new one is in."""
         self._lose(self.connection)
         self.where, self.version, self.failures, self.older = where, None, 0, 0
+        self.soon, self.missing = SOON_TIMES, True
         self.open()
 
     def _writable(self) -> None:
@@ -226,13 +267,15 @@
 
     def _ask(self) -> None:
         assert self.connection is not None
-        self.watching = self.version is not None and not self.ask_whole
-        if not self.watching:
-            self._wait(LATE + IN_LINE, self._silent)
+        if self.version is None or self.ask_whole:
+            self._wait(self.pace.whole, self._silent)
             self.connection.call("/api/targets", self.where)
-        else:
-            self._wait(WAIT + IN_LINE, self._silent)
-            self.connection.call(f"/api/targets?index={self.version}&wait={int(WAIT * 1000)}", self.where)
+            return
+        self.missing = True
+        # The first call on a connection does not wait where that costs nothing: silence means something then.
+        wait = CHECK if self.pace.pushed and not self.checked else self.pace.wait
+        self._wait(wait + self.pace.silence, self._silent)
+        self.connection.call(f"/api/targets?index={self.version}&wait={round(wait * 1000)}", self.where)
 
     def answered(self, connection: DiscoveryConnection, body: bytes, keep: bool) -> None:
         """A list or changes are in: hand them on, then ask for the next at once. Raises ListError."""
@@ -248,8 +291,10 @@
         if not whole and self.version is None:
             raise ListError("changes to a list never given")
         self.failures = self.older = 0
+        self.soon, self.missing, self.checked = SOON_TIMES, False, True
         self.ask_whole, self.confirmed = False, True
-        if whole or targets:
+        if whole or targets or not self.heard:
+            self.heard = True
             self.tell(i.ListKind.REPLACE if whole else i.ListKind.UPDATE, targets)
         self.version = version
         if keep:
@@ -265,17 +310,24 @@
             return
         self._lose(connection)
         self.failures += 1
-        most = SOON if soon else backoff(self.failures, self.dispatchers, self.within)
+        least, most = self.pace.pause(self.failures, soon)
         if self.failures in (1, 10, 100):
             log.warning("discovery.failed", why=str(why), failures=self.failures)
-        self._wait(random.uniform(0 if soon else most / 2, most), self.open)
+        self._wait(random.uniform(least, most), self.open)
+        if not self.heard:
+            self.heard = True
+            self.unheard()
 
     def _silent(self) -> None:
-        self.failed(self.connection, "silent", soon=self.watching and self.failures == 0)
+        soon = self.missing and self.soon > 0
+        self.soon -= soon
+        self.failed(self.connection, "silent", soon)
 
     def _wait(self, seconds: float, then: Callable[[], None]) -> None:
         if self.timer is not None:
             self.timer.cancel()
+        if self.pace.pushed and not self.heard:
+            seconds = min(seconds, self.pace.first)
         self.timer = self.loop.call_later(seconds, then)
 
     def _lose(self, connection: DiscoveryConnection | None) -> None:
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -17,7 +17,7 @@
 from wickgw.config.ini import read_ini
 from wickgw.config.relay import Config, ConfigError, Opened, Sources, read_config
 from wickgw.net.clients import Clients
-from wickgw.net.discovery import Discovery, ListError, ListReader, Target
+from wickgw.net.discovery import Discovery, ListError, ListReader, Pace, Target
 from wickgw.net.dispatch import Clock, Dispatcher
 from wickgw.net.mgmt import Mgmt
 from wickgw.net.pools import Pools
@@ -58,9 +58,11 @@
             config.discovery,
             reader,
             self._told,
-            settings.dispatchers,
-            settings.ask_within,
+            self._unheard,
+            Pace(settings),
         )
+        # The list known at the start, until discovery has been asked for the first time.
+        self.known: list[Target] | None = None
         self.address = self._address(clock)
         self.mgmt: Mgmt | None = None  # the second address, once listened at
         self.stopping = False  # SIGTERM has come
@@ -99,6 +101,12 @@
                     self.discovery.held(version)
             except ListError as error:
                 log.warning("known.unreadable", error=str(error))
+        if self.discovery.pace.pushed:
+            # The agent has had the news since before this process began, and answers at once: a job that
+            # went by the older list until then could go to a worker that drains.
+            self.known = known
+            self.pools.begin([])
+            return
         self.pools.begin(known)
         self.clients.ready = bool(known)
 
@@ -115,9 +123,20 @@
 
     def _told(self, kind: i.ListKind, targets: list[Target]) -> None:
         """News of the list."""
+        known, self.known = self.known, None
+        if known is not None and kind is not i.ListKind.REPLACE:
+            # The first answer tells what changed since the list known at the start: both count as one.
+            held = {t.entry.worker: t for t in (*known, *targets)}
+            kind = i.ListKind.REPLACE
+            targets = [t for t in held.values() if t.entry.health is not i.Health.GONE]
         self.pools.told(kind, targets)
         self.clients.ready = True
 
+    def _unheard(self) -> None:
+        """Discovery did not answer the first call: what was known at the start is all there is."""
+        if self.known:
+            self._told(i.ListKind.REPLACE, self.known)
+
     def report(self) -> dict[str, object]:
         """The counters, and what is held right now."""
         told = self.pools.report()
@@ -223,7 +242,7 @@
         self.loop.call_later(SETTLE, self._quiet)  # what was accepted last may still be about to be read
 
     def _quiet(self) -> None:
-        """Ends when nothing is owed and nothing unwritten; looks again in a moment otherwise."""
+        """Ends when nothing is owed, unwritten; looks again in a moment otherwise."""
         self.clients.close_idle()
         if self.pools.owed or self.clients.unwritten or self.sockets.opening:
             if not self.finished.done():
--- a/wickgw/validate.py
+++ b/wickgw/validate.py
@@ -17,6 +17,7 @@
         "tenants.quota": any(not t.quota >= 0 for t in s.tenants),
         "dispatchers": s.dispatchers < 1,
         "ask_within": not s.ask_within > 0,
+        "drain_grace": not s.drain_grace >= 0,
         "max_attempts": s.max_attempts < 1,
         "idle_close": not s.idle_close > 0,
         "progress_every": not s.progress_every >= 0,
