A try whose connection still opens is not written once its worker or client has left

Drains count the first byte, so a try decided within the grace could be written after it. Change: Peers.withdraw_from gives up what is not begun when its worker drains or goes, Peers.withdraw when its request is over (answered, given up, or its client gone). The outcome says "moot": it never ran, so never-twice jobs go elsewhere and the worker gets no strike. Failed without it, with the opening held by a gate: "at 'w0 expect end': unread at the end: b'POST /once?x=1 HTTP/1.1\r\nHost: app.svc\r\n Req-Id: 1..."; after a drain: "at 'w1 gets 1': no connection came". Ruled out: tries on idle connections (written when decided).

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -46,6 +46,9 @@
     def cancel(self, request: str, number: int) -> None:
         self.done.append(("cancel", request, number))
 
+    def withdraw(self, request: str, number: int) -> None:
+        pass  # all are written at once here
+
     def close_idle(self, worker: str) -> None:
         self.done.append(("close", worker))
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -218,3 +218,42 @@
         known="",
         facts=PUSHED | grace(0.4),
     )
+
+
+# Tries that are decided and not yet written.
+
+
+@pytest.mark.parametrize("news", ["w0=draining w1", "w0=gone w1"])
+@pytest.mark.parametrize("cls", ["look", "once"])
+def test_try_whose_connection_still_opens_is_not_written_to_a_worker_that_drains(
+    gate: Gate, news: str, cls: str
+) -> None:
+    scene = Scene(facts=SLOW_TO_OPEN)
+    try:
+        scene.play(f"d send list 5 whole w0\nd expect index=5\na send job 1 {cls} 4000")
+        gate.wait(scene, 1)
+        gate.shut = False
+        scene.play(
+            f"d send list 6 part {news}\nd expect index=6\nw1 gets 1"
+        )  # it never ran: it goes elsewhere
+        gate.open(scene)
+        settle(scene)
+        scene.play("w1 send serve 1\na expect made\nnode wait try.moot 1\nw0 expect end")
+    finally:
+        scene.close()
+
+
+@pytest.mark.parametrize("leave", ["close", "close hard"])
+def test_try_whose_connection_still_opens_is_not_written_for_a_client_that_left(
+    gate: Gate, leave: str
+) -> None:
+    scene = Scene(facts=SLOW_TO_OPEN)
+    try:
+        scene.play("d send list 5 whole w0\nd expect index=5\na send job 1 once 4000")
+        gate.wait(scene, 1)
+        scene.play(f"a {leave}\nnode wait answer.client_left 1")
+        gate.open(scene)
+        settle(scene)
+        scene.play("w0 expect end\nnode wait try.moot 1\nnode wait peer_connections 0")
+    finally:
+        scene.close()
--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -77,6 +77,9 @@
     def cancel(self, request: str, number: int) -> None:
         """Give a try up, if it is still out."""
 
+    def withdraw(self, request: str, number: int) -> None:
+        """Give a try up if nothing of it is written yet: its request is over."""
+
     def close_idle(self, worker: str) -> None:
         """Close the idle connections to a peer."""
 
@@ -159,12 +162,13 @@
         return True
 
     def left(self, context: RequestContext) -> None:
-        """The client is gone; tries that are out are followed to their end."""
+        """The client is gone; tries that are written are followed to their end, no other is written now."""
         if context.client is None:
             return
         self.counters["answer.client_left"] += 1
         self._conclude(context)
         self._feed(i.ClientLeft(context.id))
+        self._withdraw(context)
         self._forget(context)
 
     def started(self, request: str, number: int) -> None:
@@ -189,6 +193,7 @@
         if verdict is i.Verdict.OK:
             self._answer(context, Answer(AnswerKind.SERVED, result))
         self._feed(i.Outcome(request, number, verdict, over=context.client is None, free=free))
+        self._withdraw(context)
         self._forget(context)
 
     def stop(self, within: float) -> None:
@@ -262,9 +267,9 @@
             case i.Close(worker):
                 self.peers.close_idle(worker)
             case i.Refuse(request, after):
-                self._answer(self.contexts[request], Answer(AnswerKind.REFUSED, retry_after=after))
+                self._give_up(self.contexts[request], Answer(AnswerKind.REFUSED, retry_after=after))
             case i.Fail(request):
-                self._answer(self.contexts[request], Answer(AnswerKind.FAILED))
+                self._give_up(self.contexts[request], Answer(AnswerKind.FAILED))
             case i.Wake(name, after):
                 serial, due = next(self._serial), self.loop.time() + after
                 self._wakes[serial] = self.loop.call_at(due, self._wake, serial, name, due)
@@ -293,6 +298,10 @@
 
     # Contexts.
 
+    def _give_up(self, context: RequestContext, answer: Answer) -> None:
+        self._answer(context, answer)
+        self._withdraw(context)
+
     def _answer(self, context: RequestContext, answer: Answer) -> None:
         client = context.client
         if client is None:  # a second copy's end, or the client is gone
@@ -308,6 +317,11 @@
             context.guard.cancel()
             context.guard = None
 
+    def _withdraw(self, context: RequestContext) -> None:
+        """Of a request that is over nothing more is written. Said to the Balancer after the end itself."""
+        for number in sorted(context.out) if context.client is None else ():
+            self.peers.withdraw(context.id, number)
+
     def _forget(self, context: RequestContext) -> None:
         if context.client is None and not context.out:
             self.contexts.pop(context.id, None)
@@ -324,5 +338,6 @@
             log.error("request.guarded", id=context.id)
             self._answer(context, Answer(AnswerKind.FAILED))
             self._feed(i.ClientLeft(context.id))
+            self._withdraw(context)
         elif context.client is not None:
             context.guard = self.loop.call_later(GRACE, self._overdue, context, True)
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -64,6 +64,11 @@
         self.free: float | None = None  # slots free at the peer, if it has reported them
         self.timer = peers.loop.call_at(until, self.give_up, i.Verdict.TIMEOUT)
 
+    @property
+    def opening(self) -> "PeerConnection | None":
+        """The connection that it waits for: nothing of it is written."""
+        return self.connection if self.connection is not None and not self.connection.begun else None
+
     def hurry(self, until: float) -> None:
         """Wait no longer than that."""
         if until < self.until:
@@ -123,6 +128,7 @@
         self.closed = False
         self.idle_since = 0.0
         self.adopted = False  # the socket is the transport's, or on its way there
+        self.begun = False  # bytes of a request have been given to the transport
         self.timer: asyncio.TimerHandle | None = None  # bounds the opening, or the wait for the framing's end
 
     # Opening.
@@ -199,6 +205,7 @@
         assert self.try_ is not None and self.transport is not None
         self.status, self.outcome, self.size, self.written = None, None, 0, False
         self.line.clear()
+        self.begun = True
         self.transport.write(self.try_.request())
         # A write that fails at once leaves the buffer empty too, but nothing of it was sent: the transport
         # is closing then.
@@ -387,11 +394,25 @@
             self.peers[worker] = _Peer(endpoint, since)
 
     def remove(self, worker: str) -> None:
-        """A peer is gone from the list; tries that are out there go on."""
+        """A peer is gone from the list; tries that are out there go on, those that are not written don't."""
         self.close_idle(worker)
+        self.withdraw_from(worker)
         if worker in self.peers:
             self.peers.pop(worker).listed = False
 
+    def withdraw_from(self, worker: str) -> None:
+        """A peer wants nothing new: tries that wait for a connection to it were decided before that was told,
+        and would be written after it, by as much as the connection takes to open."""
+        peer = self.peers.get(worker)
+        for try_ in [t for t in self.tries.values() if t.opening and t.opening.peer is peer]:
+            try_.give_up(i.Verdict.MOOT)
+
+    def withdraw(self, request: str, number: int) -> None:
+        """The request is over: a try that is not written yet never will be."""
+        try_ = self.tries.get((request, number))
+        if try_ is not None and try_.opening:
+            try_.give_up(i.Verdict.MOOT)
+
     def start(self, context: RequestContext, number: int, worker: str, until: float) -> None:
         """Start a try on the connection that idled last, or on a new one."""
         try_ = _Try(self, context, number, until)
--- a/wickgw/net/pools.py
+++ b/wickgw/net/pools.py
@@ -79,6 +79,9 @@
             self.states.pop(worker, None)
         if entries or kind is i.ListKind.REPLACE:
             self.dispatcher.listed(kind, tuple(entries))
+        for entry in entries:
+            if entry.health is i.Health.DRAINING:
+                self.peers.withdraw_from(entry.worker)
         for worker in gone:
             self.peers.remove(worker)
 
