A client's leaving is seen behind all that it sent; what it left unread is not sent on

Cause: beyond 16 KB ahead of an answer reading was paused (clients.py, ClientConnection.received), so the client's end lay behind its bytes for as long as its request waited; and a request that was read with its client's end right behind it was sent on before that was read. Change: reading goes on; 144 KB are kept (what a connection is budgeted for), the rest is dropped, and the connection ends with 413 after what is kept is answered. A request is taken only if its client's end is not the next thing in the kernel (counter left_unread).

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import random
+import socket
+import threading
 import time
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -13,7 +15,7 @@
 from scenario import FACTS, MS, PATIENCE, Scene
 
 from wickgw.facts import read_settings
-from wickgw.net import discovery
+from wickgw.net import clients, discovery, http
 from wickgw.net.discovery import Pace
 from wickgw.net.peers import PeerConnection
 
@@ -257,3 +259,71 @@
         scene.play("w0 expect end\nnode wait try.moot 1\nnode wait peer_connections 0")
     finally:
         scene.close()
+
+
+# Clients that have left.
+
+
+def test_client_that_leaves_behind_much_that_it_sent_is_seen_to_leave() -> None:
+    """Its end lay behind bytes that were not read any more, for as long as its request waited."""
+    scene = Scene(known="")  # no worker: the request is held
+    try:
+        scene.play("d send list 5 whole\na send job 1 once 4000\nnode wait owed 1")
+        try:
+            scene.play(f"a send bytes {http.MAX_HEAD * 4}")
+        finally:
+            scene.play("a close")
+        scene.play("node wait answer.client_left 1\nnode wait owed 0")
+    finally:
+        scene.close()
+
+
+@pytest.mark.parametrize("how", ["fin", "half", "reset"])
+def test_request_held_while_its_client_leaves_is_never_sent(how: str) -> None:
+    scene = Scene(known="")
+    try:
+        scene.play("d send list 5 whole\nd expect index=5\na send job 1 once 4000\nnode wait owed 1")
+        a = scene.connections["a"]
+        if how == "half":
+            a.shutdown(socket.SHUT_WR)
+        else:
+            scene.play("a close" if how == "fin" else "a close hard")
+        scene.play(
+            "node wait answer.client_left 1\nnode wait owed 0\nd send list 6 part w0\nd expect index=6"
+        )
+        scene.play("b send job 2\nw0 gets 2\nnode wait tries 1")
+    finally:
+        scene.close()
+
+
+def test_request_whose_client_left_before_it_was_read_is_never_sent() -> None:
+    """It waits, with its end behind it, while the process is at something else."""
+    scene = Scene()
+    try:
+        scene.play("d send list 5 whole w0\nd expect index=5\na open\nnode wait client_connections 1")
+        busy, go = threading.Event(), threading.Event()
+
+        def stand_still() -> None:
+            busy.set()
+            go.wait(PATIENCE)
+
+        scene.loop.call_soon_threadsafe(stand_still)
+        busy.wait(PATIENCE)
+        scene.play("a send job 1 once 4000\na close")
+        go.set()
+        scene.play("node wait left_unread 1\nb send job 2\nw0 gets 2\nnode wait tries 1")
+    finally:
+        scene.close()
+
+
+def test_client_that_sends_without_end_ahead_of_its_answer_is_bounded_and_told() -> None:
+    scene = Scene()
+    try:
+        scene.play("d send list 5 whole w0\nd expect index=5\na send job 1 look 4000\nw0 gets 1")
+        for _ in range(8):
+            scene.play(f"a send bytes {clients.AHEAD // 4}")
+        scene.play(
+            "node wait cut 1\nw0 send serve 1\na expect 200 OK.*made\na expect ^HTTP/1.1 4\\d\\d .*close"
+        )
+    finally:
+        scene.close()
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -39,6 +39,9 @@
 # none may be held.
 AWAY_GRACE = 2.0
 UNREAD = 15.0  # the same while some of the answer is still here
+# Bytes kept of what a client sends while it is owed an answer: what a connection is budgeted to hold. It is
+# read on all the same, so that its end is seen at once; what comes beyond is not kept.
+AHEAD = http.MAX_HEAD + 2 * http.MAX_BODY
 WHOLE_ANSWER = 256 * 1024  # bytes: the largest answer, its head, and as much again for the kernel
 LOOKS = 16  # connections looked at to make room for one
 ID = re.compile(r"[0-9A-Za-z._-]{1,64}")
@@ -75,7 +78,7 @@
         self.since = 0.0  # when it last began to wait for bytes; until the first answer, when it was opened
         self.reading = False
         self.ending = False  # the last answer is written; what still comes is not read
-        self.paused = False
+        self.cut = False  # it sent more than is kept: after what is kept it ends
 
     def opened(self) -> None:
         self.since = self.clients.loop.time()
@@ -104,9 +107,9 @@
         self.parser.feed(data)
         if self.context is None:
             self._read()
-        elif len(self.parser.buffer) > http.MAX_HEAD and self.transport is not None:
-            self.paused = True  # one that sends on and on while it is owed an answer: bounded here
-            self.transport.pause_reading()
+        elif len(self.parser.buffer) > AHEAD:
+            self.cut = self.discarding = True  # reading goes on: paused, its end would lie behind its bytes
+            self.clients.counters["cut"] += 1
 
     def _read(self) -> None:
         """Take the requests that are in, one after the other. A loop, so that a long line of them that are
@@ -116,6 +119,8 @@
             while self.context is None and not self.ending:
                 request = self.parser.next()
                 if request is None:
+                    if self.cut:
+                        raise http.HttpError(413, "too much sent ahead of answers")
                     free = self.gate is None or self.gate.may_take()
                     if free and self.parser.wants_continue() and self.transport is not None:
                         self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -152,9 +157,6 @@
             self.ending = self.discarding = True
             self.parser = http.RequestParser()
             self.clients.waits(self)
-            if self.paused:
-                self.paused = False
-                self.transport.resume_reading()
             try:
                 self.transport.write_eof()
             except OSError:  # the client is gone already: there is nobody left to tell
@@ -187,9 +189,6 @@
             self.write(503, b"not done, try again later\n", TEXT | {"Retry-After": after})
         else:
             self.write(502, b"failed\n", TEXT)
-        if self.paused and self.transport is not None:
-            self.paused = False
-            self.transport.resume_reading()
         if not self.reading:
             self._read()
 
@@ -425,6 +424,9 @@
             job = Job(request.method, request.target, request.body)
             # Who names no tenant of the settings, or several, is served as nobody's: beyond every share.
             tenant = self.tenants.get(request.headers.get("req-owner", ""), -1) if self.tenants else 0
+            if connection.gone():  # while its request waited to be read, or to be accepted
+                self.counters["left_unread"] += 1
+                return
             context = RequestContext(name, cls, due, job, connection, slots, tenant, choice.attempts)
             connection.taken(context)
             if not self.pools.take(choice, context):
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -60,17 +60,24 @@
             log.exception("connection.failed")
             self.abort()
 
-    def quiet(self) -> bool:
-        """It is open, and nothing lies unread in the kernel: neither bytes nor the other side's end."""
+    def _next(self) -> bytes | None:
+        """What lies unread in the kernel: a first byte, None for nothing, or b"" for the other side's end."""
         if self.sock is None or self.transport is None or self.transport.is_closing():
-            return False
+            return b""
         try:
-            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            return False
-        return False
+            return b""
+
+    def quiet(self) -> bool:
+        """It is open, and nothing lies unread in the kernel: neither bytes nor the other side's end."""
+        return self._next() is None
+
+    def gone(self) -> bool:
+        """The other side has ended, and nothing that it sent lies unread before that."""
+        return self._next() == b""
 
     def abort(self) -> None:
         """End it now: what is still in the transport's buffer is never written."""
