A process does not end while a request lies unread on a connection

Cause: Node._quiet (node.py) ended when nothing was owed and nothing unwritten; a request whose last byte came between the read and that look lay in the kernel's buffer, its connection was not at rest and so not closed, and the process ended. It counts as taken then. Failed without it: "AssertionError: it ends, and a request lies unread".

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -327,3 +327,27 @@
         )
     finally:
         scene.close()
+
+
+# The end of a process.
+
+
+def test_process_does_not_end_while_a_request_lies_unread() -> None:
+    """Its last byte came between two turns of the loop, the last of which looked whether all is answered."""
+    scene = Scene()
+    try:
+        scene.play(
+            "d send list 5 whole w0\nd expect index=5\na send job 1 look 4000\nw0 gets 1\nw0 send serve 1"
+        )
+        scene.play("a expect made")
+
+        async def end() -> None:
+            scene.node.clients.drain()
+            scene._send("a", "job 2 look 2000")  # in the kernel's buffer before the node looks, on loopback
+            scene.node._quiet()
+            assert not scene.node.finished.done(), "it ends, and a request lies unread"
+
+        asyncio.run_coroutine_threadsafe(end(), scene.loop).result(PATIENCE)
+        scene.play("w0 gets 2\nw0 send serve 2\na expect 200 OK.*close.*made")
+    finally:
+        scene.close()
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -510,9 +510,10 @@
                 self._drop(connection)
 
     @property
-    def unwritten(self) -> bool:
-        """Answers are still on their way out of this process."""
-        return any(c.unwritten for c in self.connections)
+    def unsettled(self) -> bool:
+        """Answers are still on their way out of this process, or what came in is not read yet: a request
+        whose last byte is here counts as taken, read or not."""
+        return any(c.unwritten or not c.ending for c in self.connections)
 
     def close(self) -> None:
         """Give everything back."""
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -242,9 +242,9 @@
         self.loop.call_later(SETTLE, self._quiet)  # what was accepted last may still be about to be read
 
     def _quiet(self) -> None:
-        """Ends when nothing is owed, unwritten; looks again in a moment otherwise."""
+        """Ends when nothing is owed, unwritten or unread; looks again in a moment otherwise."""
         self.clients.close_idle()
-        if self.pools.owed or self.clients.unwritten or self.sockets.opening:
+        if self.pools.owed or self.clients.unsettled or self.sockets.opening:
             if not self.finished.done():
                 self.loop.call_later(SETTLE, self._quiet)
         else:
