--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -351,3 +351,19 @@
         scene.play("w0 gets 2\nw0 send serve 2\na expect 200 OK.*close.*made")
     finally:
         scene.close()
+
+
+# What a worker needs to know a repeat by.
+
+
+def test_key_of_a_request_whose_repeats_workers_drop_is_passed_on() -> None:
+    played(
+        """
+        d send list 5 whole w0
+        d expect index=5
+        a send job 1 look 3000 ab "Idempotency-Key: 17c2c43a1ba951a8"
+        w0 expect Idempotency-Key: 17c2c43a1ba951a8\\r\\n.*ab$
+        b send job 2 look 3000 ab "Idempotency-Key: x" "Idempotency-Key: y"
+        b expect ^HTTP/1.1 400
+        """
+    )
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -421,7 +421,7 @@
             # No client waits longer than its class allows, whatever it says: 11 days would be owed an answer.
             patience = min(int(wait) / 1000, longest, choice.time_limit) - ALLOWANCE
             due = self.loop.time() + (patience if gate is None else min(patience, gate.time_left()))
-            job = Job(request.method, request.target, request.body)
+            job = Job(request.method, request.target, request.body, request.headers.get("idempotency-key"))
             # Who names no tenant of the settings, or several, is served as nobody's: beyond every share.
             tenant = self.tenants.get(request.headers.get("req-owner", ""), -1) if self.tenants else 0
             if connection.gone():  # while its request waited to be read, or to be accepted
--- a/wickgw/net/http.py
+++ b/wickgw/net/http.py
@@ -25,7 +25,7 @@
 CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
 STRAY = re.compile(rb"\x00|(?<!\r)\n|\r(?!\n|\Z)")  # bytes that no head may hold
 # Said twice, these leave open what is meant; any other field's values are joined.
-SINGLE = {"content-length", "host", "req-id", "req-deadline-ms", "transfer-encoding"}
+SINGLE = {"content-length", "host", "idempotency-key", "req-id", "req-deadline-ms", "transfer-encoding"}
 
 
 class HttpError(Exception):
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -52,6 +52,7 @@
     method: str
     target: str
     body: bytes
+    key: str | None = None  # of a request whose repeats workers drop: they know them by it
 
 
 class _Try:
@@ -81,6 +82,8 @@
         job: Job = self.context.job
         left = max(1, int((self.until - self.peers.loop.time()) * 1000))
         fields = {"Host": "app.svc", "Req-Id": self.context.id, "Req-Deadline-Ms": str(left)}
+        if job.key is not None:
+            fields["Idempotency-Key"] = job.key
         return http.request(job.method, job.target, fields, job.body)
 
     def give_up(self, verdict: i.Verdict) -> None:
