A connection rests after an answer without an id: a second one is not the next try's

Cause: a turned-away job's answer (503, Srv-Declined) names no request. Sent twice, the second some milliseconds late, it was read as the answer of the try written on that connection meanwhile (peers.py, _whole: FULL, "never ran"), and a never-twice job went elsewhere while it ran. Found by reading; the module's rest after a full worker (0.25 s) hides it unless all workers rest. Change: such a connection goes back into the pool 50 ms later; what comes before that ends it. Answers with lines name their request. Failed without it: "at 'w0/2 gets 2': no connection came" (the second job went out on the connection that answers twice).

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,7 +15,7 @@
 from scenario import FACTS, MS, PATIENCE, Scene
 
 from wickgw.facts import read_settings
-from wickgw.net import clients, discovery, http
+from wickgw.net import clients, discovery, http, peers
 from wickgw.net.discovery import Pace
 from wickgw.net.peers import PeerConnection
 
@@ -261,6 +261,36 @@
         scene.close()
 
 
+# Answers that come twice.
+
+
+def test_second_answer_without_an_id_is_not_taken_for_the_next_tries(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The first job is turned away, and some milliseconds later once more. A never-twice job that is written
+    on that connection in between would count as never run and go elsewhere, while it runs."""
+    monkeypatch.setattr(peers, "DOUBT", PATIENCE)
+    played(
+        """
+        d send list 5 whole w0
+        d expect index=5
+        a send job 1 once 4000
+        w0 gets 1
+        w0 send status 503 "Srv-Declined: 1"
+        a expect ^HTTP/1.1 503
+        b send job 2 once 4000
+        w0/2 gets 2
+        w0 send status 503 "Srv-Declined: 1"
+        w0 expect end
+        w0/2 send serve 2
+        b expect made
+        node wait try.ok 1
+        node wait tries 2
+        """,
+        **{"attempts-cap": 1},
+    )
+
+
 # Clients that have left.
 
 
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -27,6 +27,9 @@
 MAX_LINE = http.MAX_BODY + 4096  # a job event: the largest result and what stands around it
 MAX_RESPONSE = 1 << 20  # all lines of one try: hours of progress
 LAST = {"failed": i.Verdict.ERROR, "returned": i.Verdict.FULL, "lost": i.Verdict.RESET}
+# Seconds that a connection rests after an answer without the request's id before it carries another try: a
+# second one, some milliseconds late, would be taken for the next try's, and "never ran" for the truth.
+DOUBT = 0.05
 LINGER = 1.0  # seconds that the framing may end after the last job event
 TRUST = 0.9  # share of the settings' idle time after which a connection is closed from this side
 SWEEP = 0.25  # seconds between looks at idle connections
@@ -312,13 +315,21 @@
             self.timer.cancel()
             self.timer = None
         if keep and self.parser.between and self.written:
-            self.peers.idle(self)
+            if self.status.status == 200:  # its lines name the request that they are about
+                self.peers.idle(self)
+            else:
+                self.timer = self.peers.loop.call_later(DOUBT, self._rested)
         else:
             self.drop()
         if try_ is not None:
             try_.connection = None
             try_.end(verdict, result)
 
+    def _rested(self) -> None:
+        self.timer = None
+        if not self.closed:
+            self.peers.idle(self)
+
     def _end(self, verdict: i.Verdict, result: bytes = b"") -> None:
         """The connection can't carry its try any further."""
         try_, self.try_ = self.try_, None
