A worker that started anew is there before tries that wait for the old one are withdrawn

Cause: Peers.place removed the old worker first; a try withdrawn then is sent anew in the same step, and found the old address or none (could-not-connect, and a strike). Change: the new one takes its place first; leaving has one way (Peers._leave). New tests besides: SIGTERM at six moments with both kinds of lists, clients that send on every open connection up to the end, a never-twice job cut off after each third byte of its answer.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+import re
 import socket
 import threading
 import time
@@ -12,7 +13,7 @@
 from typing import Any
 
 import pytest
-from scenario import FACTS, MS, PATIENCE, Scene
+from scenario import FACTS, MESSAGES, MS, PATIENCE, Scene, job
 
 from wickgw.facts import read_settings
 from wickgw.net import clients, discovery, http, peers
@@ -261,6 +262,20 @@
         scene.close()
 
 
+def test_try_whose_connection_still_opens_goes_to_the_worker_that_started_anew_by_a_new_one(
+    gate: Gate,
+) -> None:
+    scene = Scene(known="", facts=SLOW_TO_OPEN)
+    try:
+        scene.play("d send list 5 whole w0=ready@1000\nd expect index=5\na send job 1 once 4000")
+        gate.wait(scene, 1)
+        gate.shut = False
+        scene.play("d send list 6 part w0=ready@2000\nd expect index=6\nw0 expect end\nw0/2 gets 1")
+        scene.play("w0/2 send serve 1\na expect made\nnode wait try.moot 1\nnode wait tries 2")
+    finally:
+        scene.close()
+
+
 # Answers that come twice.
 
 
@@ -383,6 +398,152 @@
         scene.close()
 
 
+SHORT = {"services": [s | {"hard-limit-ns": 900 * MS} for s in FACTS["services"]]}
+SIGTERM = {
+    "before the first list": """
+        a send job 1 look 800
+        node wait owed 1
+        node drain
+        a expect ^HTTP/1.1 503 .*Connection: close.*later
+    """,
+    "twice, while a worker hangs": """
+        d send list 5 whole w0
+        d expect index=5
+        a send job 1 once 800
+        w0 gets 1
+        node drain
+        node drain
+        a expect ^HTTP/1.1 502 .*failed
+    """,
+    "between a reload and the new discovery's list": """
+        d send list 5 whole w0
+        d expect index=5
+        a send job 1 once 800
+        w0 gets 1
+        node reload e
+        e expect GET /api/targets HTTP
+        node drain
+        w0 send serve 1
+        a expect ^HTTP/1.1 200 .*made
+    """,
+    "and then a reload, the worker's answer held back until the new list is in": """
+        d send list 5 whole w0
+        d expect index=5
+        a send job 1 once 800
+        w0 gets 1
+        node drain
+        node reload e
+        e expect GET /api/targets HTTP
+        e send list 1 whole w1
+        e expect index=1
+        w0 send serve 1
+        a expect ^HTTP/1.1 200 .*made
+    """,
+    "with half a request in": """
+        d send list 5 whole w0
+        d expect index=5
+        a send raw "POST /once HTTP/1.1~Host: x~"
+        b send job 2 once 800
+        w0 gets 2
+        node drain
+        w0 send serve 2
+        b expect ^HTTP/1.1 200 .*made
+    """,
+    "while its connection to a worker opens": """
+        d send list 5 whole w0
+        d expect index=5
+        w0 jam w0
+        a send job 1 once 800
+        node drain
+        a expect ^HTTP/1.1 503 .*later
+    """,
+}
+
+
+@pytest.mark.parametrize("mode", ["push", "ask"])
+@pytest.mark.parametrize("moment", SIGTERM)
+def test_sigterm_at_any_moment_answers_what_was_read_and_ends(moment: str, mode: str) -> None:
+    scene = Scene(known="", facts=SHORT | {"discovery": mode})
+    try:
+        began = time.monotonic()
+        scene.play(SIGTERM[moment])
+        while not scene.node.finished.done():
+            assert time.monotonic() < began + 5.0, "it does not end"
+            scene.play("node wait taken 0")
+        scene.play("node wait owed 0")
+    finally:
+        scene.close()
+
+
+def test_each_request_sent_up_to_the_end_is_answered_whole_or_meets_a_closed_connection() -> None:
+    """After SIGTERM clients send on every connection that stays open, each as soon as it has its answer."""
+    scene = Scene(known="", facts=SHORT)
+    try:
+        scene.play("d send list 5 whole w0\nd expect index=5")
+        scene.servers["w0"].listen(64)  # connections come up, and nobody there ever answers
+        answered = list[bytes]()
+
+        def client(n: int) -> None:
+            with socket.create_connection(scene.where, PATIENCE) as sock:
+                sock.settimeout(PATIENCE)
+                for k in range(1000):
+                    try:
+                        sock.sendall(job(f"c{n}-{k}", "once", "300").encode())
+                        answer = b""
+                        while not re.search(rb"\r\n\r\n.*\n$", answer, re.S):
+                            data = sock.recv(65536)
+                            assert data or not answer, f"an answer was cut off: {answer!r}"
+                            if not data:
+                                return  # the closing crossed the request: it is sent again elsewhere
+                            answer += data
+                    except ConnectionError:
+                        return
+                    answered.append(answer)
+                    if b"Connection: close" in answer:
+                        return
+
+        threads = [threading.Thread(target=client, args=(n,)) for n in range(12)]
+        for thread in threads:
+            thread.start()
+        scene.play("node wait taken 12\nnode drain")
+        for thread in threads:
+            thread.join(PATIENCE)
+        assert len(answered) >= 12 and all(a.startswith(b"HTTP/1.1 50") for a in answered)
+        report: Any = asyncio.run_coroutine_threadsafe(scene._report(), scene.loop).result(PATIENCE)
+        assert report["counters"]["taken"] == len(answered)
+    finally:
+        scene.close()
+
+
+# Connections to workers that end at any byte.
+
+
+def test_never_twice_job_runs_once_at_whatever_byte_its_workers_connection_ends() -> None:
+    """Cut after each byte of the answer, gently and hard in turn: one try, one answer, and the right one."""
+    scene = Scene(known="")
+    try:
+        scene.play("d send list 5 whole w0\nd expect index=5")
+        whole = MESSAGES["serve"]("n000")
+        known = whole.index('"result": "made"}\n') + len('"result": "made"}\n')  # the last line is in
+        for cut in range(0, len(whole) + 1, 3):
+            name = f"n{cut:03d}"
+            scene.play(f"a send job {name} once 4000")
+            worker = f"w0/{cut}"
+            scene.play(f"{worker} gets {name}")
+            sent = MESSAGES["serve"](name)[:cut].encode()
+            scene.connections[worker].sendall(sent)
+            scene.play(f"{worker} close {'hard' if cut % 2 else ''}")
+            scene.play(f"a expect ^HTTP/1.1 {'200' if cut >= known and not cut % 2 else '(502|200)'} .*\\n?")
+            scene.unread["a"] = b""
+        report: Any = asyncio.run_coroutine_threadsafe(scene._report(), scene.loop).result(PATIENCE)
+        counts = report["counters"]
+        assert counts["tries"] == counts["taken"] == len(range(0, len(whole) + 1, 3))
+        assert counts["answer.failed"] + counts["answer.served"] == counts["taken"]
+        assert counts["answer.served"] >= (len(whole) - known) // 6
+    finally:
+        scene.close()
+
+
 # What a worker needs to know a repeat by.
 
 
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -404,20 +404,28 @@
         """Discovery says where a peer listens, and since when. What idled there before is of no more use."""
         peer = self.peers.get(worker)
         if peer is None or (peer.endpoint, peer.since) != (endpoint, since):
-            self.remove(worker)
-            self.peers[worker] = _Peer(endpoint, since)
+            self.peers[worker] = _Peer(
+                endpoint, since
+            )  # first, since what is withdrawn may be sent anew at once
+            self._leave(peer)
 
     def remove(self, worker: str) -> None:
         """A peer is gone from the list; tries that are out there go on, those that are not written don't."""
-        self.close_idle(worker)
-        self.withdraw_from(worker)
-        if worker in self.peers:
-            self.peers.pop(worker).listed = False
+        self._leave(self.peers.pop(worker, None))
+
+    def _leave(self, peer: _Peer | None) -> None:
+        if peer is not None:
+            peer.listed = False
+            self._close_idle(peer)
+            self._withdraw_from(peer)
 
     def withdraw_from(self, worker: str) -> None:
         """A peer wants nothing new: tries that wait for a connection to it were decided before that was told,
         and would be written after it, by as much as the connection takes to open."""
-        peer = self.peers.get(worker)
+        if worker in self.peers:
+            self._withdraw_from(self.peers[worker])
+
+    def _withdraw_from(self, peer: _Peer) -> None:
         for try_ in [t for t in self.tries.values() if t.opening and t.opening.peer is peer]:
             try_.give_up(i.Verdict.MOOT)
 
@@ -467,7 +475,11 @@
 
     def close_idle(self, worker: str) -> None:
         """Close the idle connections to a peer."""
-        for connection in list(self.peers[worker].idle) if worker in self.peers else ():
+        if worker in self.peers:
+            self._close_idle(self.peers[worker])
+
+    def _close_idle(self, peer: _Peer) -> None:
+        for connection in list(peer.idle):
             self._unpool(connection)
             connection.drop()
 
