Nothing written is held back by the system: TCP_NODELAY on every connection

Cause: our sockets are made without the protocol's number, and asyncio sets TCP_NODELAY only on those that have it, so none of ours had it (sockets.py, Sockets.adopt; clients.py, Listener._accept). A second small write is then kept back until the first is acknowledged, and a close over unread bytes, which resets, takes it along: an answer that was written is lost. Change: Sockets.adopt, the one place where a socket becomes a connection, sets it for clients, workers, discovery and operators' calls. Ruled out: the last answer of a connection (its end of sending pushes it out); requests to workers (nothing before them is unacknowledged).

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,6 +4,7 @@
 waits that the settings lead to are made short; nothing sleeps for an order's sake."""
 
 import asyncio
+import contextlib
 import random
 import re
 import socket
@@ -19,6 +20,7 @@
 from wickgw.net import clients, discovery, http, peers
 from wickgw.net.discovery import Pace
 from wickgw.net.peers import PeerConnection
+from wickgw.net.sockets import Connection
 
 PUSHED: dict[str, Any] = {"discovery": "push", "siblings": 200}
 SLOW_TO_OPEN: dict[str, Any] = {"bounds": FACTS["bounds"] | {"connect-timeout-ns": 10_000 * MS}}
@@ -374,6 +376,70 @@
         scene.close()
 
 
+# What the system still holds back when a connection ends.
+
+
+def test_nothing_written_is_held_back_on_any_connection() -> None:
+    """A close over unread bytes resets a connection, and what the system waits with goes with it."""
+    scene = Scene(mgmt=True)
+    try:
+        scene.play("d send list 5 whole w0\nd expect index=5\na send job 1\nw0 gets 1\nm open")
+        scene.play("m send raw 'STATUS'\nnode wait client_connections 1")
+
+        async def delays() -> dict[str, bool]:
+            node, (pool,) = scene.node, scene.node.pools.all
+            assert node.mgmt is not None and node.discovery.connection is not None
+            held: dict[str, list[Connection]] = {"client": [*node.clients.connections]}
+            held |= {"peer": [*pool.peers.connections], "discovery": [node.discovery.connection]}
+            held |= {"call": [*node.mgmt.callers.values()]}
+            return {
+                kind: not sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+                for kind, connections in held.items()
+                for c in connections
+                if (sock := c.sock) is not None
+            }
+
+        delayed = asyncio.run_coroutine_threadsafe(delays(), scene.loop).result(PATIENCE)
+        assert delayed == {"client": False, "peer": False, "discovery": False, "call": False}
+    finally:
+        scene.close()
+
+
+def test_answer_is_not_lost_when_its_connection_ends_over_unread_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The answer before it is not acknowledged yet, and the client has more on its way: a close resets."""
+    scene, read = Scene(), clients.ClientConnection._read
+
+    def read_and_end(connection: clients.ClientConnection) -> None:
+        read(connection)
+        connection.abort()  # whatever ends it just then
+
+    try:
+        scene.play("d send list 5 whole w0\nd expect index=5\na open\nnode wait client_connections 1")
+        a = scene.connections["a"]
+        a.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 0)
+        busy, go = threading.Event(), threading.Event()
+
+        def stand_still() -> None:
+            busy.set()
+            go.wait(PATIENCE)
+
+        monkeypatch.setattr(clients.ClientConnection, "_read", read_and_end)
+        scene.loop.call_soon_threadsafe(stand_still)
+        busy.wait(PATIENCE)
+        # A request behind them that is not whole, and longer than one read.
+        a.sendall(MESSAGES["get"]("/-/healthy").encode() * 2 + job("1", body="x" * 60_000).encode()[:-1])
+        go.set()
+        answers = b""
+        with contextlib.suppress(ConnectionResetError):
+            while data := a.recv(65536):
+                answers += data
+        assert answers.count(b"200 OK") == 2, f"an answer that was written is lost: {answers!r}"
+    finally:
+        scene.close()
+
+
 # The end of a process.
 
 
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import resource
 import socket
 from typing import Any, Protocol, cast
@@ -140,6 +141,11 @@
         """Give a connected socket to its connection; the transport owns the descriptor from then on."""
         self.opening += 1
         connection.sock = sock
+        # Each message is one write. The system would keep one back while the one before it is not
+        # acknowledged, and a close over unread bytes, which is a reset, takes it along. asyncio sets this
+        # only on sockets that were made with the protocol's number.
+        with contextlib.suppress(OSError):  # it has ended already, which its transport will say
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._connected[side].put_nowait((sock, connection))
 
     async def _open(self, queue: asyncio.Queue[tuple[socket.socket, Connection]]) -> None:
