A connection rests as well after an answer that hands the job back

A line names its request, but "returned" come twice can meet the next try of the same job on the same connection: handed back by the first worker, then by the second, with all resting the module tries the first again at once; the late second line then says "never ran" of a try that runs, and a never-twice job goes elsewhere (peers.py, PeerConnection._whole: any answer 200 went into the pool at once). Other last lines come twice harmlessly: "done" ends its job, "failed" and "lost" say that it may have run. Change: the rest of 50 ms holds after any answer that says the job never ran. Failed without it: "at 'p/3 gets 1': no connection came" (the third try was written on the connection that answers twice). Ruled out: second lines for another request (the id is checked, and the try is taken as perhaps run).

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -308,6 +308,31 @@
     )
 
 
+def test_second_answer_that_hands_a_job_back_is_not_taken_for_the_next_try_of_the_same_job(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Both workers hand a never-twice job back; tried at the first again by the same connection, its first
+    line come twice would say that it never ran while it runs."""
+    monkeypatch.setattr(peers, "DOUBT", PATIENCE)
+    played(
+        """
+        d send list 5 whole w0 w1
+        d expect index=5
+        a send job 1 once 4000
+        p gets 1
+        p send last returned 1
+        p/2 gets 1
+        p/2 send last returned 1
+        p/3 gets 1
+        p send last returned 1
+        p expect end
+        p/3 send serve 1
+        a expect 200 OK.*made
+        node wait try.ok 1
+        """
+    )
+
+
 # Clients that have left.
 
 
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -27,8 +27,9 @@
 MAX_LINE = http.MAX_BODY + 4096  # a job event: the largest result and what stands around it
 MAX_RESPONSE = 1 << 20  # all lines of one try: hours of progress
 LAST = {"failed": i.Verdict.ERROR, "returned": i.Verdict.FULL, "lost": i.Verdict.RESET}
-# Seconds that a connection rests after an answer without the request's id before it carries another try: a
-# second one, some milliseconds late, would be taken for the next try's, and "never ran" for the truth.
+# Seconds that a connection rests after an answer without the request's id, or one that hands it back, before
+# it carries another try: a second one, some milliseconds late, would be taken for the next try's, and "never
+# ran" for the truth.
 DOUBT = 0.05
 LINGER = 1.0  # seconds that the framing may end after the last job event
 TRUST = 0.9  # share of the settings' idle time after which a connection is closed from this side
@@ -315,7 +316,8 @@
             self.timer.cancel()
             self.timer = None
         if keep and self.parser.between and self.written:
-            if self.status.status == 200:  # its lines name the request that they are about
+            # Its lines name the request that they are about, but one handed back may come here once more.
+            if self.status.status == 200 and verdict is not i.Verdict.FULL:
                 self.peers.idle(self)
             else:
                 self.timer = self.peers.loop.call_later(DOUBT, self._rested)
