A client that leaves with answers unread has left at once; answers that nobody reads are bounded

Cause: a client that ended its side while answers to earlier requests were unwritten was given up only when those were written, since the transport closes after its buffer (clients.py, ClientConnection.eof_received): its next request was held, and sent, as if it waited. Read beside it: a client that asks on for what is answered on the spot, and reads nothing, filled memory without a bound (_read). Change: the request is left at the end of the client's side; beyond 256 KB of unwritten answers the next request gets 413 and the end. Ruled out: a reset or a whole close with answers unread (the transport ends at once).

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -388,6 +388,51 @@
         scene.close()
 
 
+def test_client_that_ends_its_side_with_answers_unread_has_left_all_the_same() -> None:
+    """A connection whose answers are not read closes only once they are, and its request waits no longer."""
+    scene = Scene(known="")  # no worker: the request is held
+    try:
+        scene.play("d send list 5 whole\nd expect index=5\na open\nnode wait client_connections 1")
+        a = scene.connections["a"]
+        a.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+
+        async def unwritten() -> int:
+            (connection,) = scene.node.clients.connections
+            assert connection.sock is not None
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)  # the rest waits here
+            return connection.unwritten
+
+        while asyncio.run_coroutine_threadsafe(unwritten(), scene.loop).result(PATIENCE) < 200_000:
+            a.sendall(MESSAGES["get"]("/-/counters").encode() * 20)
+        scene.play("a send job 1 once 4000\nnode wait owed 1")
+        a.shutdown(socket.SHUT_WR)
+        scene.play("node wait answer.client_left 1\nnode wait owed 0")
+    finally:
+        scene.close()
+
+
+def test_client_that_asks_on_and_reads_no_answer_is_bounded() -> None:
+    """What it asks for is answered on the spot, and nothing of it leaves the process any more."""
+    scene = Scene()
+    try:
+        scene.play("a open\nnode wait client_connections 1")
+        a = scene.connections["a"]
+        a.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+
+        async def held() -> tuple[int, int]:
+            (connection,) = scene.node.clients.connections
+            return connection.unwritten, scene.node.pools.counters["rejected.413"]
+
+        most, told = 0, 0
+        while not told:
+            a.sendall(MESSAGES["get"]("/-/counters").encode() * 100)
+            most, told = asyncio.run_coroutine_threadsafe(held(), scene.loop).result(PATIENCE)
+            assert most < 16 * clients.WHOLE_ANSWER, "its answers fill the memory"
+        assert most < 2 * clients.WHOLE_ANSWER
+    finally:
+        scene.close()
+
+
 def test_client_that_sends_without_end_ahead_of_its_answer_is_bounded_and_told() -> None:
     scene = Scene()
     try:
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -117,6 +117,8 @@
         self.reading = True
         try:
             while self.context is None and not self.ending:
+                if self.unwritten > WHOLE_ANSWER:  # whoever asks on and reads nothing fills no memory here
+                    raise http.HttpError(413, "answers are not read")
                 request = self.parser.next()
                 if request is None:
                     if self.cut:
@@ -193,13 +195,19 @@
             self._read()
 
     def eof_received(self) -> bool:
-        """A client that ends its side has gone away."""
+        """A client that ends its side has gone away. The connection may close much later, when the answers to
+        what it asked before are written; its request does not wait for that."""
+        self.ending = self.discarding = True
+        self._leave()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The one place where a client connection is given back."""
         self.sock = None
         self.clients.forget(self)
+        self._leave()
+
+    def _leave(self) -> None:
         context, self.context = self.context, None
         if context is not None:
             context.leave()
