One of many pays the price of a copy as many times over

By request: of 946 jobs of the class that runs about a second 335 were copied, 0.12 s after the first try, and workers there run what is called off: a sixth more work in all. Balancer.__init__ set a copy's price against half the answers saved, as if none of the other 193 dispatchers copied too; each sees a job a second, and its few starts tell of quiet (_watch) while the fleet's queues are full. Where a connection has no price all is as it was. Failed without it: "test_one_of_many_pays...[200-False]: assert True is False".

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -187,6 +187,14 @@
     assert c.sends(c.wait(0.15)) == []
 
 
+@pytest.mark.parametrize("dispatchers, copied", [(3, True), (200, False)])
+def test_one_of_many_pays_the_price_of_a_copy_as_many_times_over(dispatchers: int, copied: bool) -> None:
+    """None of them sees the others' copies: each opens connections and takes slots, and few are of use."""
+    c = Caller(site(handshake_fee=0.1, dispatchers=dispatchers), entries=FLEET)
+    c.arrive("r")
+    assert bool(c.sends(c.wait(0.15))) is copied
+
+
 @pytest.mark.parametrize("queued, second", [(0.0, True), (0.08, False)])
 def test_way_to_a_far_worker_is_not_taken_for_its_queue(queued: float, second: bool) -> None:
     """Each start is heard of 70 ms late from afar: taken for waiting, only one job at a time went there."""
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -62,9 +62,8 @@
         self.requests: dict[str, Request] = {}  # unanswered ones
         self.out: dict[tuple[str, int], Attempt] = {}  # attempts without an outcome
         worths = [c.worth for c in settings.classes]
-        price = (
-            2 * settings.handshake_fee * sum(worths) / len(worths)
-        )  # of a copy that saves half the answers
+        # Of a copy that saves half the answers; of many who can't see each other's, so many times fewer do.
+        price = 2 * settings.handshake_fee * sum(worths) / len(worths) * (1 + self.spacing)
         self.copies = [settings.may_copy and c.worth * (1 - c.late_worth) > price for c in settings.classes]
         self.tick = self.aim / 2 if any(self.copies) else self.aim  # a copy is for half an aim's wait
         self.spare = MOST_SPARE  # further attempts left: retries must not feed a jam
