Only a log that nobody reads any more is given up; one that is full just now is not

Need: reading again: any error of the counters' print sent standard output nowhere for good, also one that passes (a pipe that does not block and is full, at SIGUSR1). Change: only a broken pipe does; other errors leave it as it is, as before.

--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import functools
 import gc
 import json
@@ -331,9 +332,10 @@
 
 
 def _print_report(node: Node) -> None:
-    try:
-        print(json.dumps(node.report()), flush=True)
-    except OSError:  # nobody reads it: no reason to fail, nor to try the rest again at the exit
-        nowhere = os.open(os.devnull, os.O_WRONLY)
-        os.dup2(nowhere, sys.stdout.fileno())
-        os.close(nowhere)
+    with contextlib.suppress(OSError):  # it can't be written just now: no reason to fail
+        try:
+            print(json.dumps(node.report()), flush=True)
+        except BrokenPipeError:  # nobody reads any more: the rest is not to be tried again at the exit
+            nowhere = os.open(os.devnull, os.O_WRONLY)
+            os.dup2(nowhere, sys.stdout.fileno())
+            os.close(nowhere)
