One gate that holds the dispatcher still, in place of two alike in the tests of endings

Need: reading the whole change again: two tests wrote the same gate; one of them did not open it if its middle failed.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -84,6 +84,23 @@
     scene.play("z send get /-/healthy\nz expect ok")
 
 
+@contextlib.contextmanager
+def standing_still(scene: Scene) -> Iterator[None]:
+    """The dispatcher is at something else meanwhile: what comes lies unread, however much it is."""
+    busy, go = threading.Event(), threading.Event()
+
+    def stand_still() -> None:
+        busy.set()
+        go.wait(PATIENCE)
+
+    scene.loop.call_soon_threadsafe(stand_still)
+    assert busy.wait(PATIENCE)
+    try:
+        yield
+    finally:
+        go.set()
+
+
 # The list: news counts as told whether or not it arrived.
 
 
@@ -373,16 +390,8 @@
     scene = Scene()
     try:
         scene.play("d send list 5 whole w0\nd expect index=5\na open\nnode wait client_connections 1")
-        busy, go = threading.Event(), threading.Event()
-
-        def stand_still() -> None:
-            busy.set()
-            go.wait(PATIENCE)
-
-        scene.loop.call_soon_threadsafe(stand_still)
-        busy.wait(PATIENCE)
-        scene.play("a send job 1 once 4000\na close")
-        go.set()
+        with standing_still(scene):
+            scene.play("a send job 1 once 4000\na close")
         scene.play("node wait left_unread 1\nb send job 2\nw0 gets 2\nnode wait tries 1")
     finally:
         scene.close()
@@ -489,18 +498,11 @@
         scene.play("d send list 5 whole w0\nd expect index=5\na open\nnode wait client_connections 1")
         a = scene.connections["a"]
         a.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 0)
-        busy, go = threading.Event(), threading.Event()
-
-        def stand_still() -> None:
-            busy.set()
-            go.wait(PATIENCE)
-
         monkeypatch.setattr(clients.ClientConnection, "_read", read_and_end)
-        scene.loop.call_soon_threadsafe(stand_still)
-        busy.wait(PATIENCE)
-        # A request behind them that is not whole, and longer than one read.
-        a.sendall(MESSAGES["get"]("/-/healthy").encode() * 2 + job("1", body="x" * 60_000).encode()[:-1])
-        go.set()
+        with standing_still(scene):
+            # A request behind them that is not whole, and longer than one read.
+            whole = MESSAGES["get"]("/-/healthy").encode() * 2
+            a.sendall(whole + job("1", body="x" * 60_000).encode()[:-1])
         answers = b""
         with contextlib.suppress(ConnectionResetError):
             while data := a.recv(65536):
