--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -36,6 +36,9 @@
     def answer(self, answer: Answer) -> None:
         self.answers.append(answer)
 
+    def has_left(self) -> bool:
+        return False
+
     def start(self, context: RequestContext, number: int, worker: str, until: float) -> None:
         self.done.append(("start", context.id, number, worker))
         self.on_start(context, number)
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -43,6 +43,8 @@
 # read on all the same, so that its end is seen at once; what comes beyond is not kept.
 AHEAD = http.MAX_HEAD + 2 * http.MAX_BODY
 WHOLE_ANSWER = 256 * 1024  # bytes: the largest answer, its head, and as much again for the kernel
+READ_SIZE = 32 * 1024  # bytes read at once while looking for a client's end
+MAX_READS_AHEAD = 16  # reads while looking for it: more than fits into a system's usual receive buffer
 LOOKS = 16  # connections looked at to make room for one
 ID = re.compile(r"[0-9A-Za-z._-]{1,64}")
 MS = re.compile(r"[0-9]{1,9}")
@@ -194,6 +196,18 @@
         if not self.reading:
             self._read()
 
+    def has_left(self) -> bool:
+        """Whether the client has ended its side. What it sent ahead of that lies before it and is read."""
+        for _ in range(MAX_READS_AHEAD):
+            unread = self._next()
+            if not unread:
+                return unread is not None
+            assert self.sock is not None
+            data = self.sock.recv(READ_SIZE)
+            if not self.discarding:
+                self.received(data)
+        return False
+
     def eof_received(self) -> bool:
         """A client that ends its side has gone away. The connection may close much later, when the answers to
         what it asked before are written; its request does not wait for that."""
--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -64,6 +64,9 @@
     def answer(self, answer: Answer) -> None:
         """Write the final answer. Called once, and not after `left`."""
 
+    def has_left(self) -> bool:
+        """Whether the client has ended its side, though the loop may not have come to that yet."""
+
 
 class PeerSide(Protocol):
     """What carries tries out."""
@@ -98,7 +101,7 @@
     most: int | None = None  # attempts, if its route allows fewer
     home: "Dispatcher | None" = None  # whose it is, once taken
     tries: int = 0  # started
-    out: set[int] = field(default_factory=set)  # those without an outcome
+    out: dict[int, str] = field(default_factory=dict)  # those without an outcome, and at which worker
     guard: asyncio.TimerHandle | None = None
 
     def leave(self) -> None:
@@ -120,10 +123,12 @@
     ) -> None:
         self.balancer, self.loop, self.clock, self.peers = balancer, loop, clock, peers
         self.contexts: dict[str, RequestContext] = {}
+        self.on_attempt_ended: Callable[[str, i.Verdict], None] | None = None
         self.counters: Counter[str] = Counter()
         self.max_stall = 0.0
         self.longest: tuple[float, str] = (0.0, "")  # the longest step of the decisions: seconds, and on what
         self.stop_by: float | None = None  # the process ends then
+        self._just_read: RequestContext | None = None  # its client was there a moment ago, in this callback
         self._events: deque[i.Event] = deque()
         self._running = False
         self._wakes: dict[int, asyncio.TimerHandle] = {}
@@ -158,7 +163,9 @@
         # The Balancer answers in time by itself. Should it fail at that, the client is still told.
         self._guard(context)
         patience = context.due - self.clock.now()
+        self._just_read = context
         self._feed(i.Arrival(context.id, context.cls, patience, context.tenant, context.slots, context.most))
+        self._just_read = None
         return True
 
     def left(self, context: RequestContext) -> None:
@@ -171,6 +178,18 @@
         self._withdraw(context)
         self._forget(context)
 
+    def may_write(self, context: RequestContext) -> bool:
+        """Whether an attempt may still be written: looked at in the moment before its first byte.
+
+        A loop that stood still finds the client's end, due timers and workers' answers in one turn, in any
+        order; an attempt that follows from one of the others must not overtake the end.
+        """
+        client = context.client
+        if client is not None and context is not self._just_read and client.has_left():
+            self.counters["left_before_attempt"] += 1
+            self.left(context)
+        return context.client is not None
+
     def started(self, request: str, number: int) -> None:
         """A peer has begun a try."""
         self._feed(i.Started(request, number))
@@ -189,10 +208,12 @@
         if context is None or number not in context.out:  # told already, see _start
             return
         self.counters[f"try.{verdict.value}"] += 1
-        context.out.discard(number)
+        worker = context.out.pop(number)
         if verdict is i.Verdict.OK:
             self._answer(context, Answer(AnswerKind.SERVED, result))
         self._feed(i.Outcome(request, number, verdict, over=context.client is None, free=free))
+        if self.on_attempt_ended is not None:
+            self.on_attempt_ended(worker, verdict)
         self._withdraw(context)
         self._forget(context)
 
@@ -279,7 +300,7 @@
     def _start(self, context: RequestContext, worker: str, timeout: float) -> None:
         until = min(context.due, self.clock.now() + timeout) if timeout > 0 else context.due
         number, context.tries = context.tries, context.tries + 1
-        context.out.add(number)
+        context.out[number] = worker
         self.counters["tries"] += 1
         try:
             self.peers.start(context, number, worker, until)
--- a/wickgw/net/peers.py
+++ b/wickgw/net/peers.py
@@ -205,11 +205,15 @@
 
     def carry(self, try_: _Try) -> None:
         """Take a try on this idle connection."""
-        self.try_ = try_
+        self.try_, self.begun = try_, False
         self._write()
 
     def _write(self) -> None:
         assert self.try_ is not None and self.transport is not None
+        if not self.peers.dispatcher.may_write(self.try_.context):
+            if self.try_ is not None:  # not withdrawn with its request
+                self.try_.give_up(i.Verdict.MOOT)
+            return
         self.status, self.outcome, self.size, self.written = None, None, 0, False
         self.line.clear()
         self.begun = True
