Deterministic subsetting of workers, hollow fleets, and commands that measure slopes

Need: one dispatcher of 200 on 1,300 workers spends tens of per cent of a core and 75 to 140 MB on workers that it sees once in minutes; memory grows with the square of the workers, learning with more.

wickgw/subsetting: rendezvous hashing by name decides which 8 dispatchers see a worker (6 of its zone, 2 of the others), the same in every process and without talk; substitutes while members drain, die, are cold or fail twice in a row; long lists are ranked 512 at a time. No I/O, clock or randomness (import contract). wickgw/emulator/hollow: the shipped decision module and subsetting of many dispatchers on virtual time, modelled workers, discovery and faults, and rules checked from what workers saw. benchmarks/capacity.py: slopes, fleets, real processes.

A worker or a dispatcher more or less changes at most twice its own memberships. Thirty dispatchers over workers that come back cold under 1.3 times the load: no fall by those who were told; with the pace of slow start 20 times as fast, the check finds them. Tests: 21 of subsetting, 15 of hollow fleets, 15 of capacity.

--- /dev/null
+++ b/tests/test_hollow.py
@@ -0,0 +1,89 @@
+"""Hollow fleets: the same play from the same seed, the rules under faults, and checks that find a fault."""
+
+import pytest
+
+from wickgw import balance
+from wickgw import interface as i
+from wickgw.emulator.hollow.fleet import FleetReport, HollowFleet
+from wickgw.emulator.hollow.plan import Fault, FaultKind, FleetPlan
+
+SAFE = i.RequestClass("safe", 0.5, 6.0, 1.0, 0.3, 2.0)
+UNSAFE = i.RequestClass("unsafe", 0.5, 6.0, 3.0, 0.3, 2.0, effect=i.Effect.UNSAFE)
+FAULTS = {
+    "rack": Fault(FaultKind.RACK, 4.0, 4.0, 0.3),
+    "zone": Fault(FaultKind.ZONE, 4.0, 9.0),
+    "split": Fault(FaultKind.REGION_SPLIT, 4.0, 5.0),
+    "restart": Fault(FaultKind.MASS_RESTART, 5.0, 0.0, 0.7),
+    "replacement": Fault(FaultKind.REPLACEMENT, 3.0, 6.0, 0.3),
+}
+RETURN = Fault(FaultKind.ZONE, 4.0, 4.0)  # a zone comes back cold before discovery has missed it
+
+
+def plan(
+    *faults: Fault, subsets: bool, load: float = 0.6, dispatchers: int = 24, workers: int = 72
+) -> FleetPlan:
+    slots, work = 2, 1.0
+    rate = load * workers * slots / work
+    return FleetPlan(
+        dispatchers, workers, 3, 2, rate, work, slots, 16.0, (SAFE, UNSAFE), faults, subsets, 0.5
+    )
+
+
+def play(plan: FleetPlan, seed: int = 1) -> FleetReport:
+    return HollowFleet(plan, seed).run()
+
+
+def rules(report: FleetReport) -> dict[str, int]:
+    return {rule: count for rule, count in report.broken.items() if count}
+
+
+def same(report: FleetReport) -> dict[str, object]:
+    """What does not depend on the machine."""
+    cost = ("control_core", "job_ms", "longest_ms", "longest_on")
+    return {key: value for key, value in report.as_dict().items() if key not in cost}
+
+
+def test_same_seed_gives_the_same_play() -> None:
+    first, again = (play(plan(FAULTS["rack"], subsets=True)) for _ in range(2))
+    assert same(first) == same(again) != same(play(plan(FAULTS["rack"], subsets=True), seed=2))
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("subsets", [False, True])
+def test_no_rule_is_broken(fault: str, subsets: bool) -> None:
+    report = play(plan(FAULTS[fault], subsets=subsets))
+    assert rules(report) == {} and report.worth > 0.4 and report.jobs > 900
+
+
+def test_subsets_serve_no_less_of_a_lost_zone_than_the_whole_view() -> None:
+    lost = Fault(FaultKind.ZONE, 3.0, 60.0)
+    whole, parts = (
+        play(plan(lost, subsets=on, load=0.4, dispatchers=60, workers=240)) for on in (False, True)
+    )
+    assert parts.worth > whole.worth - 0.02
+
+
+def test_thirty_dispatchers_together_do_not_push_a_cold_worker_over() -> None:
+    """A zone comes back cold under more than full load: the budget N + 2 x root of N + 2 is for all."""
+    for seed in (1, 2):
+        report = play(plan(RETURN, subsets=False, load=1.3, dispatchers=30), seed)
+        assert rules(report) == {}
+
+
+def test_falls_of_cold_workers_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With a cold worker's budget spent twenty times over, the check of the rule says so."""
+    monkeypatch.setattr(balance, "PUSH", 20 * balance.PUSH)
+    reports = [play(plan(RETURN, subsets=False, load=1.3, dispatchers=30), seed) for seed in (1, 2)]
+    assert sum(rules(report).get("cold", 0) for report in reports) > 0
+
+
+def test_attempts_at_drained_workers_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Modules that do not hear of drains go on sending to workers that drain."""
+    real = balance.Balancer._list
+
+    def deaf(self: balance.Balancer, event: i.WorkerList, now: float) -> None:
+        if event.kind is not i.ListKind.UPDATE:
+            real(self, event, now)
+
+    monkeypatch.setitem(balance.Balancer.ON, i.WorkerList, deaf)
+    assert rules(play(plan(FAULTS["replacement"], subsets=False)))["drain"] > 0
--- a/wickgw/emulator/roster.py
+++ b/wickgw/emulator/roster.py
@@ -26,7 +26,7 @@
         self.version, self.targets = version, {str(t["uid"]): t for t in targets}
         self.changed: dict[str, int] = dict.fromkeys(self.targets, version)  # by which version
         self.old: tuple[int, list[dict[str, object]]] = (0, [])  # what it says when it is old
-        self.calls = 0
+        self.calls = self.bytes_sent = self.bytes_received = 0
         self.endpoint = ""
         self._loop = asyncio.new_event_loop()
         self._news = asyncio.Event()
@@ -96,6 +96,7 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 asked = CALL.match(head)
                 self.calls += 1
+                self.bytes_received += len(head)
                 if asked is None:
                     self._write(writer, 404, {})
                     continue
@@ -129,10 +130,11 @@
             wanted = [t for t in wanted if t["state"] != "gone"]
         return {"rev": self.version, "all": whole, "targets": wanted}
 
-    @staticmethod
-    def _write(writer: asyncio.StreamWriter, status: int, body: dict[str, object]) -> None:
+    def _write(self, writer: asyncio.StreamWriter, status: int, body: dict[str, object]) -> None:
         data = json.dumps(body).encode()
-        writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+        answer = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data
+        self.bytes_sent += len(answer)
+        writer.write(answer)
 
     def close(self) -> None:
         """End the thread."""
--- /dev/null
+++ b/wickgw/subsetting/subset.py
@@ -0,0 +1,222 @@
+"""One dispatcher's subset of the workers, kept up to date with the list and with what attempts tell.
+
+A worker is in the subset for one of two reasons:
+
+| reason | begins | ends |
+| --- | --- | --- |
+| member | its rank gives this dispatcher a seat at it | it leaves the list |
+| substitute | members that can serve fall short of its share of the fleet | enough can again |
+
+Members that drain, are gone, are cold or fail attempt after attempt count for nothing, or for the share that
+they can carry. Substitutes are taken in the order of this dispatcher's rank at them, warm ones first, so that
+many dispatchers which lose the same members spread over the rest of the fleet.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from wickgw import interface as i
+from wickgw.subsetting.events import (
+    AttemptEnded,
+    FleetListed,
+    ListedWorker,
+    SetTimer,
+    ShowWorkers,
+    SubsetAction,
+    SubsetEvent,
+    TimerFired,
+)
+from wickgw.subsetting.ranking import Dispatcher, Rank, Ranking
+from wickgw.subsetting.sizing import SubsetSize
+
+# Of a dispatcher's share of the fleet: with less than this its subset is filled up to the whole share.
+REFILL_BELOW = 0.8
+MAX_GROWTH = 4.0  # times its share of the fleet that a subset holds at most
+# Attempts in a row without one served, from which a worker counts for nothing. One of hundreds of dispatchers
+# meets a worker once in many seconds: with more, a lost zone would be learned only when its list is.
+MAX_FAILURES = 2
+# A zone in which those that this dispatcher has can carry less than this is taken for lost: its workers come
+# last as substitutes.
+HEALTHY_ZONE = 0.5
+RECHECK_S = 1.0  # between looks at members that warm up, and at substitutes that may go
+RANKED_AT_ONCE = 512  # workers of a long list that are ranked in one call: a few milliseconds
+NEXT_STEP_S = 0.0  # until the next call that ranks more of it
+
+
+@dataclass(slots=True, eq=False)
+class KnownWorker:
+    """One worker of the whole list."""
+
+    entry: i.Entry
+    zone: str
+    rank: Rank | None = None  # None: not ranked yet
+    failures: int = 0  # attempts in a row without one served
+
+
+class WorkerSubset:
+    """Feed it events in order with their time; carry out the actions it returns."""
+
+    def __init__(
+        self, dispatchers: tuple[Dispatcher, ...], own: str, size: SubsetSize, settings: i.Settings
+    ) -> None:
+        self.ranking = Ranking(dispatchers, own, size)
+        self.dispatchers, self.size, self.settings = len(dispatchers), size, settings
+        self.known: dict[str, KnownWorker] = {}
+        self.members: dict[str, KnownWorker] = {}
+        self.substitutes: dict[str, KnownWorker] = {}  # in the order in which they were taken
+        self._shown: dict[str, i.Entry] = {}
+        self._unranked: list[str] = []
+        self._replace: i.ListKind | None = None  # a whole list is on its way in: what it is to be shown as
+        self._timer_set = False
+
+    def handle(self, event: SubsetEvent, now: float) -> list[SubsetAction]:
+        """Take one event at its time; return what to do about it."""
+        match event:
+            case FleetListed():
+                self._listed(event)
+            case AttemptEnded():
+                if not self._attempt_ended(event):
+                    return []
+            case TimerFired():
+                self._timer_set = False
+        self._rank_some()
+        if self._unranked:
+            return [SetTimer(NEXT_STEP_S)]
+        self._fill(now)
+        return self._show() + self._timer(now)
+
+    # What is known.
+
+    def _listed(self, event: FleetListed) -> None:
+        whole = event.kind in (i.ListKind.REPLACE, i.ListKind.RESTORED)
+        if whole:
+            self._replace = event.kind
+            listed = {worker.entry.worker for worker in event.workers}
+            for name in [name for name in self.known if name not in listed]:
+                self._forget(name)
+        for worker in event.workers:
+            if worker.entry.health is i.Health.GONE:
+                self._forget(worker.entry.worker)
+            else:
+                self._learn(worker)
+
+    def _learn(self, worker: ListedWorker) -> None:
+        name = worker.entry.worker
+        known = self.known.get(name)
+        if known is None or known.zone != worker.zone:
+            self._forget(name)
+            self.known[name] = KnownWorker(worker.entry, worker.zone)
+            self._unranked.append(name)
+            return
+        if known.entry.since != worker.entry.since:  # it started anew
+            known.failures = 0
+        known.entry = worker.entry
+
+    def _forget(self, name: str) -> None:
+        self.known.pop(name, None)
+        self.members.pop(name, None)
+        self.substitutes.pop(name, None)
+
+    def _rank_some(self) -> None:
+        """Rank the next workers of those that are new; long lists are ranked in several calls."""
+        batch, self._unranked = self._unranked[:RANKED_AT_ONCE], self._unranked[RANKED_AT_ONCE:]
+        workers = {name: self.known[name] for name in batch if name in self.known}
+        ranks = self.ranking.rank([(name, worker.zone) for name, worker in workers.items()])
+        for (name, worker), rank in zip(workers.items(), ranks, strict=True):
+            worker.rank = rank
+            if rank.member:
+                self.members[name] = worker
+
+    def _attempt_ended(self, event: AttemptEnded) -> bool:
+        """Count failures in a row; whether the worker counts for more or less than before."""
+        worker = self.known.get(event.worker)
+        if worker is None:
+            return False
+        before = worker.failures
+        worker.failures = 0 if event.served else before + 1
+        return (before >= MAX_FAILURES) != (worker.failures >= MAX_FAILURES)
+
+    # Who is in the subset.
+
+    def capacity(self, worker: KnownWorker, now: float) -> float:
+        """The share of a warm worker's work that one can carry now."""
+        if worker.entry.health is not i.Health.READY or worker.failures >= MAX_FAILURES:
+            return 0.0
+        if worker.entry.since is None or self.settings.warm_after <= 0:
+            return 1.0
+        age = max(0.0, now - worker.entry.since) / self.settings.warm_after
+        return min(1.0, self.settings.cold_from + (1 - self.settings.cold_from) * age)
+
+    def share(self) -> int:
+        """Workers that are this dispatcher's part of the fleet, on the average."""
+        ready = sum(worker.entry.health is i.Health.READY for worker in self.known.values())
+        return math.ceil(self.size.memberships * ready / self.dispatchers)
+
+    def _capacity_of(self, workers: Iterable[KnownWorker], now: float) -> float:
+        return sum(self.capacity(worker, now) for worker in workers)
+
+    def _fill(self, now: float) -> None:
+        """Take substitutes while members fall short, and let those go that are not needed any more."""
+        share = self.share()
+        held = self._capacity_of(self.members.values(), now)
+        held += self._capacity_of(self.substitutes.values(), now)
+        for name in reversed(list(self.substitutes)):
+            spared = self.capacity(self.substitutes[name], now)
+            if held - spared < share:
+                break
+            held -= spared
+            del self.substitutes[name]
+        if held < REFILL_BELOW * share:
+            self._take_substitutes(share, held, now)
+
+    def _take_substitutes(self, share: int, held: float, now: float) -> None:
+        room = math.ceil(MAX_GROWTH * share) - len(self.members) - len(self.substitutes)
+        for capacity, name, worker in self._candidates(now):
+            if held >= share or room <= 0:
+                return
+            self.substitutes[name] = worker
+            held += capacity
+            room -= 1
+
+    def _candidates(self, now: float) -> list[tuple[float, str, KnownWorker]]:
+        """Workers outside the subset that can serve: warm ones in healthy zones first, then by rank."""
+        found, health = [], self._health_of_zones(now)
+        for name, worker in self.known.items():
+            if name in self.members or name in self.substitutes or worker.rank is None:
+                continue
+            if (capacity := self.capacity(worker, now)) > 0:
+                last = capacity < 1 or health.get(worker.zone, 1.0) < HEALTHY_ZONE
+                found.append((last, worker.rank.distance, name, capacity, worker))
+        found.sort(key=lambda candidate: candidate[:3])
+        return [(capacity, name, worker) for _, _, name, capacity, worker in found]
+
+    def _health_of_zones(self, now: float) -> dict[str, float]:
+        """Of each zone, the mean of what those in the subset can carry."""
+        capacities: dict[str, list[float]] = {}
+        for worker in (*self.members.values(), *self.substitutes.values()):
+            capacities.setdefault(worker.zone, []).append(self.capacity(worker, now))
+        return {zone: sum(found) / len(found) for zone, found in capacities.items()}
+
+    # What is shown, and when to look again.
+
+    def _show(self) -> list[SubsetAction]:
+        shown = {name: worker.entry for name, worker in (self.members | self.substitutes).items()}
+        before, self._shown = self._shown, shown
+        kind, self._replace = self._replace, None
+        if kind is not None:
+            return [ShowWorkers(kind, tuple(shown.values()))]
+        changed = [entry for name, entry in shown.items() if before.get(name) != entry]
+        gone = [_gone(entry) for name, entry in before.items() if name not in shown]
+        return [ShowWorkers(i.ListKind.UPDATE, (*changed, *gone))] if changed or gone else []
+
+    def _timer(self, now: float) -> list[SubsetAction]:
+        cold = any(0 < self.capacity(worker, now) < 1 for worker in self.members.values())
+        if self._timer_set or not (cold or self.substitutes):
+            return []
+        self._timer_set = True
+        return [SetTimer(RECHECK_S)]
+
+
+def _gone(entry: i.Entry) -> i.Entry:
+    return i.Entry(entry.worker, i.Health.GONE, entry.zone, entry.cell, entry.since, entry.kind)
