Subsetting in serve: [subsetting] of the operator's file, off unless turned on

Need: the mechanism in service. [subsetting] names the fleet's size and each dispatcher with its zone; net/subset_driver.py stands between the whole list and the pool's decisions, connections and learning; attempts that end tell it who fails. Off, or where a subset would hold the whole fleet, nothing of it is imported and there is no timer. A name that the table does not hold, a name twice, no dispatchers, no workers: one line with file, section, key, and exit 2. A changed section is taken at the next start, and a reload says so. A message of the operator's file that begins with a name in capitals keeps them ('nAME=ZONE' before).

--- a/wickgw/config/ini.py
+++ b/wickgw/config/ini.py
@@ -100,7 +100,9 @@
     elif error["type"] == "extra_forbidden":
         what = "no such key"
     elif isinstance(error["input"], str):
-        what = f"{error['input']!r} read; {message[0].lower()}{message[1:]}"
+        # A message that begins with a name in capitals keeps it.
+        begins = message[:2].lower() if message[1:2].islower() else message[:2]
+        what = f"{error['input']!r} read; {begins}{message[2:]}"
     else:
         what = message
     return f"[{section}] {key}: {what}" if key else f"[{section}] {what}"
--- a/wickgw/config/reference.py
+++ b/wickgw/config/reference.py
@@ -27,7 +27,9 @@
     ("route:NAME", schema.RouteSettings),
     ("worker:NAME", schema.WorkerSettings),
     ("expect:NAME", schema.ExpectSettings),
+    ("subsetting", schema.SubsettingSettings),
 )
+_PAIRS = {"members": "NAME=HOST:PORT", "dispatchers": "NAME=ZONE"}
 TABLES = {"services", "pools", "routes", "workers", "expects"}
 
 
@@ -47,7 +49,7 @@
     key = "header.NAME" if name == "headers" else field.alias or name
     default = "needed" if field.is_required() else _shown(field.get_default(call_default_factory=True))
     meaning = (field.description or "").replace("|", "\\|")
-    return f"| `{key}` | {default} | {_allowed(field).replace('|', chr(92) + '|')} | {meaning} |\n"
+    return f"| `{key}` | {default} | {_allowed(name, field).replace('|', chr(92) + '|')} | {meaning} |\n"
 
 
 def _shown(value: Any) -> str:
@@ -58,7 +60,7 @@
     return str(value)
 
 
-def _allowed(field: FieldInfo) -> str:
+def _allowed(name: str, field: FieldInfo) -> str:
     kind = field.annotation
     options = typing.get_args(kind)
     if typing.get_origin(kind) is typing.Literal:
@@ -71,9 +73,9 @@
         return f"{low} to {high}"
     if kind is bool:
         return "yes, no"
-    for name in ("_PydanticGeneralMetadata",):
-        if pattern := getattr(bounds.get(name), "pattern", None):
+    for general in ("_PydanticGeneralMetadata",):
+        if pattern := getattr(bounds.get(general), "pattern", None):
             return f"`{pattern}`"
     if typing.get_origin(kind) is dict:
-        return "NAME=HOST:PORT" if field.is_required() else "words"
+        return _PAIRS.get(name, "words") if field.is_required() else "words"
     return "words" if typing.get_origin(kind) is tuple else "text"
--- a/wickgw/config/schema.py
+++ b/wickgw/config/schema.py
@@ -28,19 +28,27 @@
     return tuple(value.split()) if isinstance(value, str) else value
 
 
-def _pairs(value: object) -> object:
+def _pairs(value: object, value_is: str) -> object:
     """`a=127.0.0.1:7401` on lines or after blanks."""
     if not isinstance(value, str):
         return value
     pairs = [word.partition("=") for word in value.replace(",", " ").split()]
     if any(not sign for _, sign, _ in pairs):
-        raise ValueError("NAME=HOST:PORT for each member is allowed")
+        raise ValueError(f"NAME={value_is} for each member is allowed")
     names = [name for name, _, _ in pairs]
     if len(set(names)) != len(names):
         raise ValueError("each member once is allowed")
     return {name: at for name, _, at in pairs}
 
 
+def _endpoints(value: object) -> object:
+    return _pairs(value, "HOST:PORT")
+
+
+def _zones(value: object) -> object:
+    return _pairs(value, "ZONE")
+
+
 Endpoint = Annotated[str, BeforeValidator(_endpoint)]
 Words = Annotated[tuple[str, ...], BeforeValidator(_words)]
 
@@ -85,7 +93,7 @@
     enabled: bool = Field(False, description="off unless yes")
     group: Name = Field("wickgw", description="datagrams of other groups are dropped")
     instance: str = Field("", description="which member this is; the dispatcher's name otherwise")
-    members: Annotated[dict[Name, Endpoint], BeforeValidator(_pairs)] = Field(
+    members: Annotated[dict[Name, Endpoint], BeforeValidator(_endpoints)] = Field(
         min_length=3, max_length=7, description="3 to 7 of NAME=HOST:PORT: where each member takes datagrams"
     )
     bind: Annotated[str, BeforeValidator(lambda v: _endpoint(v) if v else v)] = Field(
@@ -215,12 +223,27 @@
         return self
 
 
+class SubsettingSettings(Section):
+    """[subsetting]"""
+
+    enabled: bool = Field(
+        False, description="off unless yes; off as well where a subset would hold the fleet"
+    )
+    workers: int = Field(
+        ge=1, le=100_000, description="workers that the fleet has, about: the same everywhere"
+    )
+    dispatchers: Annotated[dict[str, str], BeforeValidator(_zones)] = Field(
+        min_length=1, max_length=1000, description="NAME=ZONE of each dispatcher, this one too"
+    )
+
+
 class Operator(Section):
     """The whole file."""
 
     log: LogSettings = LogSettings()
     address: AddressSettings | None = None
     routing: RoutingSettings | None = None
+    subsetting: SubsettingSettings | None = None
 
 
 # A section [KIND:NAME] is an entry of a table of the section that it belongs to.
--- a/wickgw/net/pools.py
+++ b/wickgw/net/pools.py
@@ -16,7 +16,7 @@
 
 from wickgw import interface as i
 from wickgw.balance import Balancer
-from wickgw.config.relay import Config
+from wickgw.config.relay import Config, ConfigError
 from wickgw.net import http
 from wickgw.net.dispatch import Clock, Dispatcher, RequestContext
 from wickgw.net.peers import Peers
@@ -25,8 +25,11 @@
 from wickgw.observe import logger
 
 if TYPE_CHECKING:
+    from wickgw.config.schema import SubsettingSettings
+    from wickgw.net.subset_driver import SubsetDriver
     from wickgw.routing.match import Request
     from wickgw.routing.table import Pool, Route, Table, Worker
+    from wickgw.subsetting.subset import WorkerSubset
 
 log = logger("wickgw.routing")
 RETIRING = 0.5  # seconds between looks at whether a retired pool has ended its last request
@@ -43,24 +46,48 @@
         loop: asyncio.AbstractEventLoop,
         clock: Clock,
         sockets: Sockets,
+        subsetting: "SubsettingSettings | None" = None,
     ) -> None:
         self.name, self.has = name, has
         settings = config.settings
+        self.subset: SubsetDriver | None = None
+        core = subset_of(config, subsetting)
+        if core is not None:
+            from wickgw.net import subset_driver
+            from wickgw.subsetting import sizing
+
+            settings = sizing.settings_for_subset(settings, core.size.memberships)
+            self.subset = subset_driver.SubsetDriver(core, loop, clock, self._show)
         self.peers = Peers(loop, sockets, settings.connect_timeout, settings.idle_close, settings.free_slots)
         balancer = Balancer(settings, config.seed + zlib.crc32(name.encode()))  # 0 for the one without a name
         self.dispatcher = self.peers.dispatcher = Dispatcher(balancer, loop, clock, self.peers)
+        if self.subset is not None:
+            self.dispatcher.on_attempt_ended = self.subset.attempt_ended
         self.states: dict[str, i.Health] = {}  # of its workers
 
     def begin(self, known: list[Target]) -> None:
         """Its life begins, with the list as it was held last."""
         mine = [target for target in known if self.has(target)]
+        if self.subset is not None:
+            self.dispatcher.begin(())
+            self.subset.told(i.ListKind.REPLACE, mine)
+            return
         for target in mine:
             self.peers.place(target.entry.worker, target.endpoint, target.entry.since)
             self.states[target.entry.worker] = target.entry.health
         self.dispatcher.begin(tuple(target.entry for target in mine))
 
     def told(self, kind: i.ListKind, targets: list[Target]) -> None:
-        """News of the list: addresses first, since the Balancer may send at once; what left goes last."""
+        """News of the list."""
+        if self.subset is None:
+            self._show(kind, targets)
+        else:
+            mine = [t for t in targets if self.has(t) or t.entry.worker in self.subset.targets]
+            self.subset.told(kind, [t if self.has(t) else _gone(t) for t in mine])
+
+    def _show(self, kind: i.ListKind, targets: list[Target]) -> None:
+        """What the pool serves by: addresses first, since the Balancer may send at once; what left goes
+        last."""
         entries, gone = [], set()
         for target in targets:
             entry, worker, mine = target.entry, target.entry.worker, self.has(target)
@@ -96,10 +123,13 @@
         ready, draining = self.counts
         held = {"owed": self.dispatcher.owed, "ready": ready, "draining": draining}
         held |= {"tries_out": len(self.peers.tries), "peer_connections": len(self.peers.connections)}
+        held |= self.subset.counts if self.subset is not None else {}
         return {"counters": dict(self.dispatcher.counters), "now": held}
 
     def close(self) -> None:
         """Give everything back."""
+        if self.subset is not None:
+            self.subset.close()
         self.dispatcher.close()
         self.peers.close()
 
@@ -133,7 +163,9 @@
         sockets: Sockets,
         table: "Table | None" = None,
         zone_header: str = "",
+        subsetting: "SubsettingSettings | None" = None,
     ) -> None:
+        self.subsetting = subsetting
         self.config, self.loop, self.clock, self.sockets = config, loop, clock, sockets
         self.table, self.zone_header = table, zone_header.lower()
         self.list: dict[str, Target] = {}
@@ -145,7 +177,7 @@
         settings = config.settings
         self.zone = settings.zones[settings.zone] if settings.zone < len(settings.zones) else ""
         if table is None:
-            self.servers[""] = PoolServer("", lambda target: True, config, loop, clock, sockets)
+            self.servers[""] = PoolServer("", lambda target: True, config, loop, clock, sockets, subsetting)
             self.counters = self.servers[""].dispatcher.counters
         else:
             self.counters = Counter[str]()
@@ -153,9 +185,11 @@
                 self.servers[pool.name] = self._serve(pool)
 
     def _serve(self, pool: "Pool") -> PoolServer:
-        return PoolServer(
-            pool.name, lambda t: pool.has(worker_of(t)), self.config, self.loop, self.clock, self.sockets
-        )
+        def has(target: Target) -> bool:
+            return pool.has(worker_of(target))
+
+        shared = self.config, self.loop, self.clock, self.sockets
+        return PoolServer(pool.name, has, *shared, self.subsetting)
 
     @property
     def all(self) -> list[PoolServer]:
@@ -294,7 +328,7 @@
             "longest_step_on": on,
         }
         if self.table is None:
-            return {"now": now}
+            return {"now": now | (self.servers[""].subset.counts if self.servers[""].subset else {})}
         pools = {name: server.report() for name, server in self.servers.items()}
         return {"now": now | {"pools_retired": len(self.retired)}, "pools": pools}
 
@@ -318,6 +352,30 @@
         return self.servers[name].counts
 
 
+def subset_of(config: Config, subsetting: "SubsettingSettings | None") -> "WorkerSubset | None":
+    """The subset that the operator's file asks for; None where every worker is seen. Raises ConfigError."""
+    if subsetting is None or not subsetting.enabled:
+        return None
+    from wickgw.subsetting.ranking import Dispatcher as Instance
+    from wickgw.subsetting.sizing import subset_size
+    from wickgw.subsetting.subset import WorkerSubset
+
+    if config.name not in subsetting.dispatchers:
+        raise ConfigError(
+            f"[subsetting] dispatchers: {config.name!r}, this dispatcher's name, is missing;"
+            f" NAME=ZONE for each of all dispatchers is allowed"
+        )
+    fleet = tuple(Instance(name, zone) for name, zone in subsetting.dispatchers.items())
+    size = subset_size(len(fleet), subsetting.workers, len(set(subsetting.dispatchers.values())))
+    return WorkerSubset(fleet, config.name, size, config.settings) if size is not None else None
+
+
+def _gone(target: Target) -> Target:
+    """A worker that is no pool member any more, as one that is gone."""
+    e = target.entry
+    return target._replace(entry=i.Entry(e.worker, i.Health.GONE, e.zone, e.cell, e.since, e.kind))
+
+
 def worker_of(target: Target) -> "Worker":
     """A target as a pool's choice sees it."""
     from wickgw.routing.table import Worker
--- /dev/null
+++ b/wickgw/net/subset_driver.py
@@ -0,0 +1,83 @@
+"""Drives the core of subsetting for one pool: its timer on the loop, its entries as targets with endpoints.
+
+Imported only where the operator's file turns subsetting on and the fleet is larger than one subset.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from wickgw import interface as i
+from wickgw.net.dispatch import Clock
+from wickgw.net.worker_list import Target
+from wickgw.subsetting.events import (
+    AttemptEnded,
+    FleetListed,
+    ListedWorker,
+    SetTimer,
+    ShowWorkers,
+    SubsetEvent,
+    TimerFired,
+)
+from wickgw.subsetting.subset import WorkerSubset
+
+
+class SubsetDriver:
+    """Stands between the whole list of a pool's workers and the part of it that the pool serves by."""
+
+    def __init__(
+        self,
+        subset: WorkerSubset,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        show: Callable[[i.ListKind, list[Target]], None],
+    ) -> None:
+        self.subset, self.loop, self.clock, self.show = subset, loop, clock, show
+        self.targets: dict[str, Target] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def told(self, kind: i.ListKind, targets: list[Target]) -> None:
+        """News of the whole list."""
+        if kind is i.ListKind.REPLACE:
+            self.targets = {}
+        self.targets |= {target.entry.worker: target for target in targets}
+        self._feed(FleetListed(kind, tuple(ListedWorker(t.entry, t.zone) for t in targets)))
+        for target in targets:
+            if target.entry.health is i.Health.GONE:
+                self.targets.pop(target.entry.worker, None)
+
+    def attempt_ended(self, worker: str, verdict: i.Verdict) -> None:
+        """An attempt has ended; what was called off or never sent tells nothing of its worker."""
+        if verdict not in (i.Verdict.CANCELLED, i.Verdict.MOOT, i.Verdict.UNUSABLE):
+            self._feed(AttemptEnded(worker, verdict is i.Verdict.OK))
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Members, substitutes and all known workers, for the report."""
+        subset = self.subset
+        return {
+            "subset_members": len(subset.members),
+            "subset_substitutes": len(subset.substitutes),
+            "fleet_workers": len(subset.known),
+        }
+
+    def _feed(self, event: SubsetEvent) -> None:
+        for action in self.subset.handle(event, self.clock.now()):
+            match action:
+                case ShowWorkers(kind, entries):
+                    self.show(kind, [self.targets[e.worker]._replace(entry=e) for e in entries])
+                case SetTimer(after):
+                    self._cancel_timer()
+                    self._timer = self.loop.call_later(after, self._fired)
+
+    def _fired(self) -> None:
+        self._timer = None
+        self._feed(TimerFired())
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def close(self) -> None:
+        """Give the timer back."""
+        self._cancel_timer()
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -52,7 +52,8 @@
         self.config, self.loop, self.operator, clock = config, loop, operator, Clock()
         self.sockets = Sockets(loop, config.descriptors, config.memory_mb)
         table, zone_header = routes_of(operator)
-        self.pools = Pools(config, loop, clock, self.sockets, table, zone_header)
+        subsetting = operator.subsetting if operator else None
+        self.pools = Pools(config, loop, clock, self.sockets, table, zone_header, subsetting)
         self.clients = Clients(loop, self.sockets, self.pools, config.settings, self.report)
         reader = ListReader(clock, config.settings.zones)
         settings = config.settings
@@ -192,6 +193,8 @@
             self.pools.replace(table)
         elif (self.pools.table is not None) != routing_on(new):
             log.warning("reload.partly", not_taken="[routing] enabled", until="the next start")
+        if (new.subsetting if new else None) != (old.subsetting if old else None):
+            log.warning("reload.partly", not_taken="[subsetting]", until="the next start")
         self.operator = new
         if (new.log if new else None) != (old.log if old else None):
             configure_log(new, verbose)
