--- a/benchmarks/capacity_measures.py
+++ b/benchmarks/capacity_measures.py
@@ -75,7 +75,10 @@
         self._serial = itertools.count()
         self._due: list[tuple[float, int, Callable[[], None]]] = []
         self._before = resident_mb()
-        settings, size = settings_of(dispatchers), subset_size(dispatchers, workers, ZONES)
+        settings, size = (
+            settings_of(dispatchers),
+            subset_size(dispatchers, workers, ZONES, largest_whole_view=0),
+        )
         self.subset: WorkerSubset | None = None
         if subsets and size is not None:
             fleet = tuple(Dispatcher(f"n{n}", f"zone-{n % ZONES}") for n in range(dispatchers))
--- a/wickgw/config/schema.py
+++ b/wickgw/config/schema.py
@@ -235,6 +235,9 @@
     dispatchers: Annotated[dict[str, str], BeforeValidator(_zones)] = Field(
         min_length=1, max_length=1000, description="NAME=ZONE of each dispatcher, this one too"
     )
+    largest_whole_view: int = Field(
+        400, ge=0, le=100_000, description="a fleet of no more workers is seen whole, subsetting or not"
+    )
 
 
 class Operator(Section):
--- a/wickgw/emulator/hollow/fleet.py
+++ b/wickgw/emulator/hollow/fleet.py
@@ -38,6 +38,7 @@
     longest_on: str
     list_bytes_per_s: float  # from discovery, the mean of the dispatchers
     falls: int
+    cold_budget_used: float  # of the requests that the rule allows cold workers, over the fleet
     broken: dict[str, int]  # rules: how often
 
     def as_dict(self) -> dict[str, object]:
@@ -58,7 +59,9 @@
         self.identities = tuple(
             Dispatcher(f"n{n}", f"zone-{plan.zone_of(n)}") for n in range(plan.dispatchers)
         )
-        self.subset_size = subset_size(plan.dispatchers, plan.workers, plan.zones) if plan.subsets else None
+        self.subset_size = None
+        if plan.subsets:  # at any size: plays compare what a real fleet of this size would not turn on
+            self.subset_size = subset_size(plan.dispatchers, plan.workers, plan.zones, largest_whole_view=0)
         self.dispatchers = [HollowDispatcher(self, n) for n in range(plan.dispatchers)]
         self.finished: list[Job] = []
         self.unanswered = self.answered_twice = 0
@@ -200,6 +203,10 @@
                     runs[name] = runs.get(name, 0) + count
         return sum(count > 1 for count in runs.values())
 
+    def _cold_budget_used(self) -> float:
+        budget = sum(worker.cold_budget() for worker in self.workers.values())
+        return sum(worker.cold_received for worker in self.workers.values()) / max(budget, 1e-9)
+
     def _report(self) -> FleetReport:
         plan, jobs = self.plan, self.finished
         count = max(1, len(jobs))
@@ -225,6 +232,7 @@
             longest_on=longest.longest_on,
             list_bytes_per_s=self.list_bytes / seconds,
             falls=sum(worker.falls for worker in self.workers.values()),
+            cold_budget_used=self._cold_budget_used(),
             broken={
                 "answered twice": self.answered_twice,
                 "not answered": self.unanswered,
--- a/wickgw/emulator/hollow/worker.py
+++ b/wickgw/emulator/hollow/worker.py
@@ -42,6 +42,7 @@
         self.running: set[Attempt] = set()
         self.queue: deque[Attempt] = deque()
         self.received = 0
+        self.cold_received = 0  # of them while it was cold
         self.ran: dict[str, int] = {}  # how often each job began
         self.falls_by_told = 0
         self.falls = 0
@@ -54,12 +55,24 @@
         age = (self.clock.now - self.since) / self.plan.warm_after_s
         return min(1.0, self.plan.cold_from + (1 - self.plan.cold_from) * age)
 
+    def cold_budget(self) -> float:
+        """Requests of mean work that the rule has allowed it since its last start, while it was cold."""
+        if self.since is None:
+            return 0.0
+        plan = self.plan
+        whole = plan.warm_after_s
+        age = min(whole, self.clock.now - self.since)
+        shares = plan.cold_from * age + (1 - plan.cold_from) * age * age / (2 * whole)
+        return plan.overload_factor * plan.slots / plan.mean_work_s * shares
+
     def take(self, attempt: "Attempt", told: bool) -> None:
         """A request's last byte has come."""
         self.received += 1
-        if self.share() < 1 and self._falls(told):
-            self.stop(WorkerState.DOWN)
-            return
+        if self.share() < 1:
+            self.cold_received += 1
+            if self._falls(told):
+                self.stop(WorkerState.DOWN)
+                return
         self.queue.append(attempt)
         self._begin()
 
--- a/wickgw/net/pools.py
+++ b/wickgw/net/pools.py
@@ -366,7 +366,8 @@
             f" NAME=ZONE for each of all dispatchers is allowed"
         )
     fleet = tuple(Instance(name, zone) for name, zone in subsetting.dispatchers.items())
-    size = subset_size(len(fleet), subsetting.workers, len(set(subsetting.dispatchers.values())))
+    zones, whole = len(set(subsetting.dispatchers.values())), subsetting.largest_whole_view
+    size = subset_size(len(fleet), subsetting.workers, zones, whole)
     return WorkerSubset(fleet, config.name, size, config.settings) if size is not None else None
 
 
--- a/wickgw/subsetting/sizing.py
+++ b/wickgw/subsetting/sizing.py
@@ -10,6 +10,8 @@
 MIN_MEMBERSHIPS = 8
 # A dispatcher that sees fewer workers finds none free, or learns too little from those it has.
 MIN_SUBSET = 48
+# Workers up to which the whole view is cheap enough, and serves as well (docs/CAPACITY.md).
+LARGEST_WHOLE_VIEW = 400
 HOME_SHARE = 0.75  # of the dispatchers at a worker that are in its zone; the others are the reserve
 
 
@@ -26,15 +28,17 @@
         return self.home + self.away
 
 
-def subset_size(dispatchers: int, workers: int, zones: int) -> SubsetSize | None:
+def subset_size(
+    dispatchers: int, workers: int, zones: int, largest_whole_view: int = LARGEST_WHOLE_VIEW
+) -> SubsetSize | None:
     """The size for a fleet; None where every dispatcher sees every worker.
 
-    `dispatchers`, `workers` and `zones` are counts. A fleet of so few workers that a subset would hold them
-    all needs none, and neither does one dispatcher.
+    `dispatchers`, `workers` and `zones` are counts. A fleet of up to `largest_whole_view` workers, or of so
+    few that a subset would hold them all, needs none, and neither does one dispatcher.
     """
     if dispatchers < 1:
         raise ValueError(f"dispatchers: {dispatchers} read; at least 1 is allowed")
-    if workers < 1:
+    if workers <= largest_whole_view:
         return None
     memberships = max(MIN_MEMBERSHIPS, math.ceil(MIN_SUBSET * dispatchers / workers))
     if memberships >= dispatchers:
