--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -235,7 +235,7 @@
         if now >= self.solved + MEMORY / 20 and self.solving is None:
             self._solve(now)
         # A price of going elsewhere is no reason to wait at home: it counts less by the wait that it saves.
-        saved = min(1.0, self.zone_waits.saved_elsewhere / r.kind.aim)
+        saved = min(1.0, max(0.0, self.zone_waits.saved_elsewhere / r.kind.aim - 1))
         prices = np.where(self.index.unused[free] > now - self.keep, 0.0, TOLL * self.set.handshake_fee)
         prices = (1 + prices) * (1 + self.index.away[free] * TOLL * self.set.crossing_fee)
         costs = self.index.costs[free] * np.where(self.index.away[free], prices ** (1 - saved), prices)
