--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,4 +1,4 @@
-"""Slopes behind docs/CAPACITY.md: `python -m benchmarks.capacity slopes|fleet|processes`.
+"""Slopes behind docs/CAPACITY.md: `python -m benchmarks.capacity slopes|page|fleet|processes`.
 
 `slopes` measures each quantity at five sizes up to twice the target, in a process of its own, and fits it by
 least squares on the power that describes it; `fleet` plays hollow fleets, with subsetting and without;
@@ -163,6 +163,21 @@
         draw(results, charts)
 
 
+@app.command()
+def page() -> None:
+    """Print the kept slopes as the table of docs/CAPACITY.md."""
+    figures = json.loads((HERE / "capacity-slopes.json").read_text())["figures"]
+    print("| what | figure | value | sizes | residual | spread |\n| --- | --- | --- | --- | --- | --- |")
+    for one in figures:
+        fitted, sizes = Fit(**one["fitted"]), one["sizes"]
+        law = f"{fitted.base:.3g}"
+        if fitted.power:
+            law += f" + {fitted.slope:.3g} x {one['per']}^{fitted.power}"
+        spread = max(s / max(v, 1e-9) for s, v in zip(one["spread"], one["values"], strict=True))
+        row = (one["name"], one["figure"], law, f"{sizes[0]} to {sizes[-1]}", f"{fitted.residual:.0%}")
+        print(f"| {' | '.join(row)} | {spread:.0%} |")
+
+
 @app.command()
 def fleet(
     seeds: Annotated[int, typer.Option(help="Plays of each plan.")] = 10,
--- a/wickgw/subsetting/subset.py
+++ b/wickgw/subsetting/subset.py
@@ -12,6 +12,7 @@
 many dispatchers which lose the same members spread over the rest of the fleet.
 """
 
+import heapq
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -27,7 +28,7 @@
     SubsetEvent,
     TimerFired,
 )
-from wickgw.subsetting.ranking import Dispatcher, Rank, Ranking
+from wickgw.subsetting.ranking import Dispatcher, Ranking
 from wickgw.subsetting.sizing import SubsetSize
 
 # Of a dispatcher's share of the fleet: with less than this its subset is filled up to the whole share.
@@ -40,8 +41,8 @@
 # last as substitutes.
 HEALTHY_ZONE = 0.5
 RECHECK_S = 1.0  # between looks at members that warm up, and at substitutes that may go
-RANKED_AT_ONCE = 512  # workers of a long list that are ranked in one call: a few milliseconds
-NEXT_STEP_S = 0.0  # until the next call that ranks more of it
+READ_AT_ONCE = 256  # workers of a long list that are taken in one call: about two milliseconds
+NEXT_STEP_S = 0.0  # until the next call that takes more of it
 
 
 @dataclass(slots=True, eq=False)
@@ -50,7 +51,7 @@
 
     entry: i.Entry
     zone: str
-    rank: Rank | None = None  # None: not ranked yet
+    distance: float  # `Rank.distance`: its place among the substitutes
     failures: int = 0  # attempts in a row without one served
 
 
@@ -65,8 +66,9 @@
         self.known: dict[str, KnownWorker] = {}
         self.members: dict[str, KnownWorker] = {}
         self.substitutes: dict[str, KnownWorker] = {}  # in the order in which they were taken
+        self._ready: set[str] = set()  # of the known workers
         self._shown: dict[str, i.Entry] = {}
-        self._unranked: list[str] = []
+        self._unread: list[ListedWorker] = []  # of long lists
         self._replace: i.ListKind | None = None  # a whole list is on its way in: what it is to be shown as
         self._timer_set = False
 
@@ -80,8 +82,8 @@
                     return []
             case TimerFired():
                 self._timer_set = False
-        self._rank_some()
-        if self._unranked:
+        self._read_some()
+        if self._unread:
             return [SetTimer(NEXT_STEP_S)]
         self._fill(now)
         return self._show() + self._timer(now)
@@ -92,42 +94,50 @@
         whole = event.kind in (i.ListKind.REPLACE, i.ListKind.RESTORED)
         if whole:
             self._replace = event.kind
+            self._unread.clear()
             listed = {worker.entry.worker for worker in event.workers}
             for name in [name for name in self.known if name not in listed]:
                 self._forget(name)
-        for worker in event.workers:
+        self._unread += event.workers
+
+    def _read_some(self) -> None:
+        """Take the next workers of the list; those that are new are ranked together."""
+        part, self._unread = self._unread[:READ_AT_ONCE], self._unread[READ_AT_ONCE:]
+        batch = {worker.entry.worker: worker for worker in part}.values()  # the last entry of a name counts
+        new = {worker.entry.worker: worker for worker in batch if self._is_new(worker)}
+        ranks = self.ranking.rank([(name, worker.zone) for name, worker in new.items()])
+        for (name, worker), rank in zip(new.items(), ranks, strict=True):
+            self._forget(name)
+            known = self.known[name] = KnownWorker(worker.entry, worker.zone, rank.distance)
+            if rank.member:
+                self.members[name] = known
+        for worker in batch:
             if worker.entry.health is i.Health.GONE:
                 self._forget(worker.entry.worker)
             else:
                 self._learn(worker)
 
+    def _is_new(self, worker: ListedWorker) -> bool:
+        known = self.known.get(worker.entry.worker)
+        return known is None or known.zone != worker.zone
+
     def _learn(self, worker: ListedWorker) -> None:
         name = worker.entry.worker
-        known = self.known.get(name)
-        if known is None or known.zone != worker.zone:
-            self._forget(name)
-            self.known[name] = KnownWorker(worker.entry, worker.zone)
-            self._unranked.append(name)
-            return
+        known = self.known[name]
+        if worker.entry.health is i.Health.READY:
+            self._ready.add(name)
+        else:
+            self._ready.discard(name)
         if known.entry.since != worker.entry.since:  # it started anew
             known.failures = 0
         known.entry = worker.entry
 
     def _forget(self, name: str) -> None:
         self.known.pop(name, None)
+        self._ready.discard(name)
         self.members.pop(name, None)
         self.substitutes.pop(name, None)
 
-    def _rank_some(self) -> None:
-        """Rank the next workers of those that are new; long lists are ranked in several calls."""
-        batch, self._unranked = self._unranked[:RANKED_AT_ONCE], self._unranked[RANKED_AT_ONCE:]
-        workers = {name: self.known[name] for name in batch if name in self.known}
-        ranks = self.ranking.rank([(name, worker.zone) for name, worker in workers.items()])
-        for (name, worker), rank in zip(workers.items(), ranks, strict=True):
-            worker.rank = rank
-            if rank.member:
-                self.members[name] = worker
-
     def _attempt_ended(self, event: AttemptEnded) -> bool:
         """Count failures in a row; whether the worker counts for more or less than before."""
         worker = self.known.get(event.worker)
@@ -150,8 +160,7 @@
 
     def share(self) -> int:
         """Workers that are this dispatcher's part of the fleet, on the average."""
-        ready = sum(worker.entry.health is i.Health.READY for worker in self.known.values())
-        return math.ceil(self.size.memberships * ready / self.dispatchers)
+        return math.ceil(self.size.memberships * len(self._ready) / self.dispatchers)
 
     def _capacity_of(self, workers: Iterable[KnownWorker], now: float) -> float:
         return sum(self.capacity(worker, now) for worker in workers)
@@ -172,24 +181,23 @@
 
     def _take_substitutes(self, share: int, held: float, now: float) -> None:
         room = math.ceil(MAX_GROWTH * share) - len(self.members) - len(self.substitutes)
-        for capacity, name, worker in self._candidates(now):
-            if held >= share or room <= 0:
+        for name in self._candidates(room, now):
+            if held >= share:
                 return
-            self.substitutes[name] = worker
-            held += capacity
-            room -= 1
+            worker = self.substitutes[name] = self.known[name]
+            held += self.capacity(worker, now)
 
-    def _candidates(self, now: float) -> list[tuple[float, str, KnownWorker]]:
+    def _candidates(self, most: int, now: float) -> list[str]:
         """Workers outside the subset that can serve: warm ones in healthy zones first, then by rank."""
-        found, health = [], self._health_of_zones(now)
-        for name, worker in self.known.items():
-            if name in self.members or name in self.substitutes or worker.rank is None:
-                continue
-            if (capacity := self.capacity(worker, now)) > 0:
-                last = capacity < 1 or health.get(worker.zone, 1.0) < HEALTHY_ZONE
-                found.append((last, worker.rank.distance, name, capacity, worker))
-        found.sort(key=lambda candidate: candidate[:3])
-        return [(capacity, name, worker) for _, _, name, capacity, worker in found]
+        health = self._health_of_zones(now)
+        lost = {zone for zone, mean in health.items() if mean < HEALTHY_ZONE}
+        found = []
+        for name in self._ready - self.members.keys() - self.substitutes.keys():
+            worker = self.known[name]
+            if worker.failures < MAX_FAILURES:
+                last = worker.zone in lost or self.capacity(worker, now) < 1
+                found.append((last, worker.distance, name))
+        return [name for _, _, name in heapq.nsmallest(most, found)]
 
     def _health_of_zones(self, now: float) -> dict[str, float]:
         """Of each zone, the mean of what those in the subset can carry."""
