A request that waited while the process loaded is not told more time than is left to it

Fault: a process listens before it loads, and a request that came meanwhile counted from when it was read (clients.py, Clients.route); its attempts told their workers up to the whole time of loading too much, and it was served on after its client had given up.

Change: connections of the first look at the queue count as come when the socket began to listen (Opened.since). Tests: two in tests/test_standing_terms.py, red without it (2,980 ms told of at most 2,500 that were left; an expired request sent), green with it; 217 tests of network files pass.

--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -21,6 +21,7 @@
 from wickgw.net import spare_socket, watch_timing
 
 TWO_HUNDRED: dict[str, Any] = {"discovery": "ask", "siblings": 200}
+LOADING_S = 0.5  # from listening to the first look at the queue
 LATE_START_S = 0.2  # until a job begins, where the aim is 0.2 s: its worker takes no second one
 SCALE = 0.3  # of the watch's times in scenes that wait them out
 READY_WITHIN_S, NINE_IN_TEN = 10.0, 0.9
@@ -134,6 +135,25 @@
         assert b"Req-Id: 3" not in bytes_until(scene.connections["w0"], b"Req-Id: 4\r\n")
 
 
+# The time that an attempt tells its worker is at most what is left to the client.
+
+
+def test_request_that_waited_while_the_process_loaded_tells_its_worker_no_more_than_is_left() -> None:
+    """It lies in the listener's queue from the first moment; the process reads it LOADING_S later."""
+    with scene_of(loading=LOADING_S, early="1") as scene:
+        scene.play("d send list 5 whole w0\nw0 expect Req-Deadline-Ms: ")
+        left = int(scene.unread["w0"].split(b"\r\n")[0])
+        assert left <= 3000 - 1000 * LOADING_S
+        scene.play("w0 send serve 1\nearly expect made\nearly send job 2\nw0 expect Req-Deadline-Ms: ")
+        assert int(scene.unread["w0"].split(b"\r\n")[0]) > 3000 - 1000 * LOADING_S
+
+
+def test_request_whose_time_was_over_before_it_was_read_is_refused_unsent() -> None:
+    with scene_of(loading=LOADING_S, early="1", patience_ms=200) as scene:
+        scene.play("early expect HTTP/1.1 503")
+        assert "tries" not in scene.node.dispatcher.counters
+
+
 # The list's connection has a descriptor of its own.
 
 
--- a/wickgw/config/relay.py
+++ b/wickgw/config/relay.py
@@ -7,6 +7,7 @@
 import json
 import math
 import socket
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -115,6 +116,8 @@
 
     clients: socket.socket
     mgmt: socket.socket | None
+    # When the clients' one began to listen, on the monotonic clock; None if that was another process's doing.
+    since: float | None = None
 
 
 def open_sockets(config: Config) -> Opened:
@@ -138,7 +141,8 @@
         clients.setblocking(False)
         return Opened(clients, mgmt)
     try:
-        return Opened(listening(config.listen, BACKLOG), mgmt)
+        since = time.monotonic()  # before the first connection can have come
+        return Opened(listening(config.listen, BACKLOG), mgmt, since)
     except OSError as error:
         if mgmt is not None:
             mgmt.close()
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -76,6 +76,7 @@
         self.context: RequestContext | None = None  # the request that waits for its answer
         self.keep = True  # as the request in hand wants it
         self.known = False  # it has brought a job
+        self.came_after: float | None = None  # when its first request came at the earliest, if it had to wait
         self.fresh = True  # nothing has been answered on it
         self.since = 0.0  # when it last began to wait for bytes; until the first answer, when it was opened
         self.reading = False
@@ -231,8 +232,16 @@
     """A listening socket, open until it is closed. Neither an error nor a lack of descriptors ends it."""
 
     def __init__(
-        self, clients: "Clients", sock: socket.socket, gate: Gate | None = None, shared: bool = False
+        self,
+        clients: "Clients",
+        sock: socket.socket,
+        gate: Gate | None = None,
+        shared: bool = False,
+        since: float | None = None,
     ) -> None:
+        # Connections that waited here while the process loaded came at some time after this; None once all
+        # of them are accepted.
+        self.backlog_since = since
         self.clients, self.gate = clients, gate
         self._resume: asyncio.TimerHandle | None = None  # while not accepting
         self.closed = False
@@ -254,7 +263,10 @@
                 return
             try:
                 sock, _ = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
+                self.backlog_since = None
+                return
+            except (InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
                 log.warning("accept.failed", error=str(error))
@@ -271,7 +283,7 @@
                 # An answer fits whole into the system's buffer: none is left here to be written later.
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, WHOLE_ANSWER)
             sock.setblocking(False)
-            clients.accepted(sock, self.gate)
+            clients.accepted(sock, self.gate, self.backlog_since)
 
     def _pause(self) -> None:
         if not self.closed:
@@ -333,9 +345,10 @@
 
     # Listening.
 
-    def listen(self, sock: socket.socket, shared: bool) -> tuple[str, int]:
-        """Begin to accept; returns the address, as port 0 leaves the choice to the system."""
-        self.listener = Listener(self, sock, shared=shared)
+    def listen(self, sock: socket.socket, shared: bool, since: float | None = None) -> tuple[str, int]:
+        """Begin to accept on a socket that has listened since then; returns the address, as port 0
+        leaves the choice to the system."""
+        self.listener = Listener(self, sock, shared=shared, since=since)
         return self.listener.where
 
     @property
@@ -358,9 +371,10 @@
         self._drop(connection)
         return True
 
-    def accepted(self, sock: socket.socket, gate: Gate | None) -> None:
-        """A client has connected."""
+    def accepted(self, sock: socket.socket, gate: Gate | None, came_after: float | None = None) -> None:
+        """A client has connected, if it is told: at some time after that."""
         connection = ClientConnection(self, gate)
+        connection.came_after = came_after
         self.connections.add(connection)
         self.waits(connection)  # not at rest until it is opened, so it is not closed unseen
         self.counters["connections"] += 1
@@ -443,6 +457,9 @@
             # No client waits longer than its class allows, whatever it says: 11 days would be owed an answer.
             patience = min(int(wait) / 1000, longest, choice.time_limit) - ALLOWANCE
             due = self.loop.time() + (patience if gate is None else min(patience, gate.time_left()))
+            if connection.came_after is not None:
+                # It may have waited for as long as this process loaded, and its client's time ran.
+                due, connection.came_after = min(due, connection.came_after + patience), None
             job = Job(request.method, request.target, request.body, request.headers.get("idempotency-key"))
             # Who names no tenant of the settings, or several, is served as nobody's: beyond every share.
             tenant = self.tenants.get(request.headers.get("req-owner", ""), -1) if self.tenants else 0
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -120,7 +120,8 @@
         on."""
         if opened.mgmt is not None:
             self.mgmt = Mgmt(self.loop, self.sockets, opened.mgmt, self.carry)
-        where = self.clients.listen(opened.clients, shared=self.config.passed is not None)
+        shared = self.config.passed is not None
+        where = self.clients.listen(opened.clients, shared, opened.since)
         self.discovery.open()
         if self.address is not None:
             self.address.start()
