--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -195,10 +195,15 @@
     count: Annotated[int, typer.Option(help="Dispatchers.")] = 20,
     seconds: Annotated[int, typer.Option(help="At rest, and as long at load.")] = 60,
 ) -> None:
-    """Real dispatchers by the command of `run`, on loopback, with a list of 1,300 workers."""
-    from benchmarks.capacity_processes import play_processes
-
-    keep("processes", play_processes(console, count, seconds, TARGET_WORKERS))
+    """Real dispatchers by the command of `run`, on loopback, with a list of 1,300 workers; with subsetting
+    turned on, and without."""
+    from benchmarks.capacity_processes import ini_of, play_processes
+
+    data = {}
+    for view, ini in (("subsets", ini_of(TARGET_WORKERS)), ("whole", "")):
+        console.print(view)
+        data[view] = play_processes(console, count, seconds, TARGET_WORKERS, ini)
+    keep("processes", data)
 
 
 if __name__ == "__main__":
--- a/benchmarks/capacity_processes.py
+++ b/benchmarks/capacity_processes.py
@@ -28,6 +28,12 @@
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
+def ini_of(workers: int) -> str:
+    """The operator's file that turns subsetting on for all of the fleet."""
+    names = " ".join(f"n{n}=zone-{n % ZONES}" for n in range(FLEET))
+    return f"[subsetting]\nenabled = yes\nworkers = {workers}\ndispatchers = {names}\n"
+
+
 @dataclass(frozen=True, slots=True)
 class PhaseCost:
     """What one process used while it rested or worked; the mean of all."""
