One timed call into subsetting for hollow fleets and measurements; a plainer line in discovery

Review of the change: the same five lines stood in the hollow dispatcher and in the measurements, Cost.handle_subset serves both.

--- a/benchmarks/capacity_measures.py
+++ b/benchmarks/capacity_measures.py
@@ -99,11 +99,7 @@
 
     def _feed_subset(self, event: s.SubsetEvent) -> None:
         assert self.subset is not None
-        began = time.process_time()
-        actions = self.subset.handle(event, self.now)
-        took = time.process_time() - began
-        self.cost.add(took, took, f"subset {type(event).__name__}")
-        for action in actions:
+        for action in self.cost.handle_subset(self.subset, event, self.now):
             if isinstance(action, s.ShowWorkers):
                 self._feed(i.WorkerList(action.kind, action.entries))
             else:
--- a/wickgw/emulator/hollow/cost.py
+++ b/wickgw/emulator/hollow/cost.py
@@ -5,6 +5,8 @@
 
 from wickgw import interface as i
 from wickgw.balance import Balancer
+from wickgw.subsetting.events import SubsetAction, SubsetEvent
+from wickgw.subsetting.subset import WorkerSubset
 
 CONTROL_TIMERS = ("tick", "solve")  # learning; the other timers serve requests
 
@@ -37,6 +39,14 @@
         if took > self.longest_s:
             self.longest_s, self.longest_on = took, on
 
+    def handle_subset(self, subset: WorkerSubset, event: SubsetEvent, now: float) -> list[SubsetAction]:
+        """Feed one event to the core of subsetting, and count what it took."""
+        began = time.process_time()
+        actions = subset.handle(event, now)
+        took = time.process_time() - began
+        self.add(took, took, f"subset {type(event).__name__}")
+        return actions
+
     def handle(self, balancer: TimedBalancer, event: i.Event, now: float) -> list[i.Action]:
         """Feed one event to a decision module, and count what it took."""
         solved, began = balancer.solving_s, time.process_time()
--- a/wickgw/emulator/hollow/dispatcher.py
+++ b/wickgw/emulator/hollow/dispatcher.py
@@ -1,7 +1,6 @@
 """One hollow dispatcher: the shipped decision module, with subsetting before it if the plan says so."""
 
 import enum
-import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -138,11 +137,7 @@
 
     def _feed_subset(self, event: s.SubsetEvent) -> None:
         assert self.subset is not None
-        began = time.process_time()
-        actions = self.subset.handle(event, self.fleet.clock.now)
-        took = time.process_time() - began
-        self.cost.add(took, took, f"subset {type(event).__name__}")
-        for action in actions:
+        for action in self.cost.handle_subset(self.subset, event, self.fleet.clock.now):
             match action:
                 case s.ShowWorkers(kind, entries):
                     self.feed(i.WorkerList(kind, entries))
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -237,12 +237,9 @@
         if not whole and self.version is None:
             raise ListError("changes to a list never given")
         self.failures = self.older_lists = 0
-        self.immediate_retries_left, self.may_have_missed_updates, self.checked = (
-            IMMEDIATE_RETRIES,
-            False,
-            True,
-        )
-        self.ask_whole, self.confirmed = False, True
+        self.immediate_retries_left, self.may_have_missed_updates = IMMEDIATE_RETRIES, False
+        self.checked = self.confirmed = True
+        self.ask_whole = False
         if whole or targets or not self.initialized:
             self.initialized = True
             self.on_update(i.ListKind.REPLACE if whole else i.ListKind.UPDATE, targets)
