--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -14,7 +14,7 @@
 from numpy.typing import NDArray
 
 from wickgw import interface as i
-from wickgw.books import NOBODY, Attempt, Bucket, Held, Index, Line, Paces, Request, Worker, ZoneWaits
+from wickgw.books import NOBODY, Attempt, Bucket, Held, Index, Line, Paces, Request, Worker
 from wickgw.matrices import AT_ONCE, Matrices, Once, Solve
 from wickgw.validate import check
 
@@ -57,7 +57,6 @@
         self.keep = settings.idle_close  # seconds for which an unused connection is trusted
         self.spacing = max(0.0, settings.dispatchers / QUEUE - 1)
         self.wait = 0.0  # seconds from a send to its start, averaged
-        self.zone_waits = ZoneWaits()  # the same, in our zone and in the others
         self.last_tick = self.solved = -math.inf  # solved: when q was last solved for
         self.kept = 0.0  # of a worker little known, by a job that begins at once
         self.requests: dict[str, Request] = {}  # unanswered ones
@@ -130,11 +129,11 @@
         open_at = min(w.warm_at, w.cold_next)
         if not w.ready or w.unstarted or w.load + 1 > w.room:
             open_at = math.inf
+        toll = 1.0 if w.zone == self.set.zone else 1 + TOLL * self.set.crossing_fee
         free_at, rests = max(open_at, w.rest_until, w.crowd_until), w.rest_until if w.ready else math.inf
         unused = w.idle[-1] if w.idle else -math.inf
-        toll = 1 + max(0.0, 1 + w.load - w.slots)  # by its load report our next job would wait there
+        toll *= 1 + max(0.0, 1 + w.load - w.slots)  # by its load report our next job would wait there
         self.index.enter(w.row, free_at, open_at, rests, w.q * (1 + w.load) * toll, unused, w.slots - w.load)
-        self.index.away[w.row] = w.zone != self.set.zone
 
     def _add(self, entry: i.Entry, now: float) -> None:
         warm_at = -math.inf if entry.since is None else entry.since + self.set.warm_after
@@ -231,16 +230,17 @@
             quick = free[self.paces.lags(free) <= math.log((1 + r.kind.stretch) / 2)]
             free = quick if len(quick) else free
         if self.random.random() < EXPLORE:
-            return self.rows[int(self.random.choice(free))]
+            some: list[int] = free.tolist()
+            return self.rows[self.random.choice(some)]
         if now >= self.solved + MEMORY / 20 and self.solving is None:
             self._solve(now)
-        # A price of going elsewhere is no reason to wait at home: it counts less by the wait that it saves.
-        saved = min(1.0, max(0.0, self.zone_waits.saved_elsewhere / r.kind.aim - 1))
-        prices = np.where(self.index.unused[free] > now - self.keep, 0.0, TOLL * self.set.handshake_fee)
-        prices = (1 + prices) * (1 + self.index.away[free] * TOLL * self.set.crossing_fee)
-        costs = self.index.costs[free] * np.where(self.index.away[free], prices ** (1 - saved), prices)
+        fresh, dear = now - self.keep, 1 + TOLL * self.set.handshake_fee  # to open a connection
+        costs = self.index.costs[free]
+        if dear > 1:
+            costs = np.where(self.index.unused[free] > fresh, costs, costs * dear)
         # Ties by own randomness: by the list's order all dispatchers would act in step.
-        return self.rows[int(self.random.choice(free[costs == costs.min()]))]
+        least: list[int] = free[costs == costs.min()].tolist()
+        return self.rows[self.random.choice(least)]
 
     def _send(self, r: Request, worker: Worker, now: float) -> None:
         attempt = Attempt(worker, r.slots, now, now, None if self.set.tells_start else now)
@@ -283,7 +283,6 @@
             # After a wait leave it to the others: when all are full, all of us keep about QUEUE jobs there.
             attempt.worker.crowd_until = now + wait * self.spacing * min(1.0, self.wait / self.aim) ** 2
             self.wait += 0.05 * (wait - self.wait)
-            self.zone_waits.observe(wait, attempt.worker.zone != self.set.zone)
             self._changed(attempt.worker)
             if attempt.unused > self.keep / 2:
                 self.keep = min(1.1 * self.keep, self.set.idle_close)
--- a/wickgw/books.py
+++ b/wickgw/books.py
@@ -238,27 +238,6 @@
         return math.log(whole) - self.lag(row)
 
 
-class ZoneWaits:
-    """Mean seconds from a send to its start, in this dispatcher's zone and in the others."""
-
-    GAIN = 0.05  # weight of a new observation
-
-    def __init__(self) -> None:
-        self.home = self.away = 0.0
-
-    def observe(self, wait: float, away: bool) -> None:
-        """A job has begun after so many seconds."""
-        if away:
-            self.away += self.GAIN * (wait - self.away)
-        else:
-            self.home += self.GAIN * (wait - self.home)
-
-    @property
-    def saved_elsewhere(self) -> float:
-        """Seconds by which jobs begin sooner in other zones; 0 where they don't."""
-        return max(0.0, self.home - self.away)
-
-
 class Bucket:
     """What comes within a rate, of which a second's worth may come at once."""
 
@@ -282,7 +261,6 @@
         self.rests = none  # until when it rests; never over for one that is not ready
         self.costs = none
         self.unused = none  # since when its newest idle connection has been unused
-        self.away = np.zeros(0, np.bool_)  # whether it is in another zone than we are
         self.vacant = none  # slots that are free by its load report; infinite: it gives none
         self._nobody_until = -math.inf  # nobody is free before, as long as nothing is entered
 
@@ -291,7 +269,6 @@
         self.free_at, self.open_at = np.append(self.free_at, none), np.append(self.open_at, none)
         self.rests, self.costs = np.append(self.rests, none), np.append(self.costs, none)
         self.unused, self.vacant = np.append(self.unused, none), np.append(self.vacant, none)
-        self.away = np.append(self.away, np.zeros(len(none), np.bool_))
 
     def enter(
         self,
