The first client after a quiet start has all its time: the backlog is looked at at once

The listener looks once by itself now, in its first turn. tests/test_standing_terms.py: red without it (no attempt came), green with it; 11 tests of the terms touched pass.

--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -148,6 +148,11 @@
         assert int(scene.unread["w0"].split(b"\r\n")[0]) > 3000 - 1000 * LOADING_S
 
 
+def test_first_client_that_calls_long_after_the_start_has_all_its_time() -> None:
+    with scene_of(loading=LOADING_S) as scene:
+        scene.play("node wait client_connections 0\na send job 1 look 300\nw0 gets 1")
+
+
 def test_request_whose_time_was_over_before_it_was_read_is_refused_unsent() -> None:
     with scene_of(loading=LOADING_S, early="1", patience_ms=200) as scene:
         scene.play("early expect HTTP/1.1 503")
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -239,9 +239,10 @@
         shared: bool = False,
         since: float | None = None,
     ) -> None:
-        # Connections that waited here while the process loaded came at some time after this; None once all
-        # of them are accepted.
+        # Connections that waited here while the process loaded came at some time after this; None after the
+        # first look, which does not wait for a connection.
         self.backlog_since = since
+        clients.loop.call_soon(self._accept_backlog)
         self.clients, self.gate = clients, gate
         self._resume: asyncio.TimerHandle | None = None  # while not accepting
         self.closed = False
@@ -250,6 +251,11 @@
         self.where: tuple[str, int] = self.sock.getsockname()
         clients.loop.add_reader(self.sock.fileno(), self._accept)
 
+    def _accept_backlog(self) -> None:
+        if self.backlog_since is not None and not self.closed:
+            self._accept()
+        self.backlog_since = None
+
     def _accept(self, last: bool = False) -> None:
         """Accept what waits; at the last time all of it, since closing the listener would reset the rest."""
         clients = self.clients
