Tests of subsetting in serve read the loop's state on its own thread, when all is read

Its list has 300 entries, which are taken in two calls, and the test's thread read the decision module's workers while the loop's thread was in the middle of entering them (tests/test_subsetting_serve.py, Fleet.ready). Mended: the fleet waits until the subset has taken the list, and states are read by calls on the loop. WorkerSubset.reading says whether a list is on its way.

No assertion was changed. The program decides as before.

--- a/tests/test_subsetting_serve.py
+++ b/tests/test_subsetting_serve.py
@@ -3,6 +3,7 @@
 import os
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -28,6 +29,7 @@
 
     def __init__(self, folder: Path, text: str) -> None:
         super().__init__(folder, ROUTES + text)
+        self.wait_until_read()
 
     def list(self, **states: str) -> dict[str, object]:
         kinds = list(self.workers.values())
@@ -42,8 +44,33 @@
     def pool(self) -> PoolServer:
         return self.node.pools.servers["all"]
 
+    def tell(self, **states: str) -> None:
+        super().tell(**states)
+        self.wait_until_read()
+
+    def wait_until_read(self) -> None:
+        """A list this long is taken over several turns of the loop."""
+        began = time.monotonic()
+        while self.run(lambda: self.pool.subset is not None and self.pool.subset.subset.reading):
+            assert time.monotonic() < began + PATIENCE
+
     def ready(self) -> set[str]:
-        return {name for name, worker in self.pool.dispatcher.balancer.workers.items() if worker.ready}
+        """The workers that the decisions may send to, read on the loop's own thread between two of its calls."""
+        ready = self.run(lambda: {w.id for w in self.pool.dispatcher.balancer.order if w.ready})
+        assert isinstance(ready, set)
+        return ready
+
+    def with_connections(self) -> set[str]:
+        """The workers that have, or may get, connections."""
+        names = self.run(lambda: set(self.pool.peers.peers))
+        assert isinstance(names, set)
+        return names
+
+    def failed(self) -> object:
+        """Whether the subset counts failures in a row of any worker."""
+        assert self.pool.subset is not None
+        known = self.pool.subset.subset.known
+        return self.run(lambda: any(w.failures for w in known.values()))
 
     def held(self) -> dict[str, Any]:
         report: Any = self.report()
@@ -61,7 +88,7 @@
     held = fleet.held()
     assert held["fleet_workers"] == COUNT and held["subset_substitutes"] == 0
     assert 25 <= len(fleet.ready()) == held["subset_members"] <= 75
-    assert set(fleet.pool.peers.peers) == fleet.ready()
+    assert fleet.with_connections() == fleet.ready()
     assert [fleet.ask("/look")[0] for _ in range(20)] == [200] * 20
 
 
@@ -71,7 +98,7 @@
     substitutes = fleet.ready()
     assert len(substitutes) >= 30 and not substitutes & members
     assert [fleet.ask("/look")[0] for _ in range(20)] == [200] * 20
-    assert members <= set(fleet.pool.peers.peers)  # what runs there ends there
+    assert members <= fleet.with_connections()  # what runs there ends there
     fleet.tell()
     assert members <= fleet.ready()
 
@@ -95,9 +122,7 @@
         worker.close()
     status, _ = fleet.ask("/look")
     assert status == 503
-    assert fleet.pool.subset is not None
-    failed = [w for w in fleet.pool.subset.subset.known.values() if w.failures]
-    assert failed
+    assert fleet.failed()
     fleet.workers = {"e1": Worker("e1")}  # those that ended are closed
 
 
--- a/wickgw/subsetting/subset.py
+++ b/wickgw/subsetting/subset.py
@@ -83,11 +83,16 @@
             case TimerFired():
                 self._timer_set = False
         self._read_some()
-        if self._unread:
+        if self.reading:
             return [SetTimer(NEXT_STEP_S)]
         self._fill(now)
         return self._show() + self._timer(now)
 
+    @property
+    def reading(self) -> bool:
+        """Whether a long list is still being taken, in parts; until then the subset is as it was."""
+        return bool(self._unread)
+
     # What is known.
 
     def _listed(self, event: FleetListed) -> None:
