--- a/tests/harness.py
+++ b/tests/harness.py
@@ -6,7 +6,7 @@
 from wickgw import Balancer
 from wickgw import interface as i
 
-NEVER_RAN = {i.Verdict.FULL, i.Verdict.CONNECT_FAILED, i.Verdict.MOOT}
+NEVER_RAN = {i.Verdict.FULL, i.Verdict.CONNECT_FAILED, i.Verdict.NOT_SENT}
 SAFE = i.RequestClass("safe", 0.1, 2.0, worth=1.0, stretch=2.0)
 UNSAFE = i.RequestClass("unsafe", 0.1, 2.0, worth=5.0, stretch=2.0, effect=i.Effect.UNSAFE)
 KEYED = {
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -65,7 +65,7 @@
     field = "" if owner is None else f' "Req-Owner: {owner}"'
     try:
         scene.play(f'a send job 1 look 3000 ""{field}\nw0 gets 1')
-        assert scene.node.dispatcher.contexts["1"].tenant == tenant
+        assert scene.node.dispatcher.pending["1"].tenant == tenant
         scene.play("w0 send serve 1\na expect 200 OK.*made")
     finally:
         scene.close()
@@ -75,7 +75,7 @@
     scene = Scene(facts={"parties": [{"name": "a", "quota-per-s": 5.0}]})
     try:
         scene.play('a send job 1 look 3000 "" "Req-Owner: a" "Req-Owner: a"\nw0 gets 1')
-        assert scene.node.dispatcher.contexts["1"].tenant == -1
+        assert scene.node.dispatcher.pending["1"].tenant == -1
     finally:
         scene.close()
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,7 +6,7 @@
 
 from wickgw import interface as i
 from wickgw.balance import Balancer
-from wickgw.net.dispatch import Answer, AnswerKind, Clock, Dispatcher, RequestContext
+from wickgw.net.dispatch import Answer, AnswerKind, Clock, Dispatcher, PendingRequest
 
 
 class Script:
@@ -31,7 +31,7 @@
     def __init__(self) -> None:
         self.answers: list[Answer] = []
         self.done: list[tuple[Any, ...]] = []
-        self.on_start: Callable[[RequestContext, int], None] = lambda context, number: None
+        self.on_start: Callable[[PendingRequest, int], None] = lambda context, number: None
 
     def answer(self, answer: Answer) -> None:
         self.answers.append(answer)
@@ -39,7 +39,7 @@
     def has_left(self) -> bool:
         return False
 
-    def start(self, context: RequestContext, number: int, worker: str, until: float) -> None:
+    def start(self, context: PendingRequest, number: int, worker: str, until: float) -> None:
         self.done.append(("start", context.id, number, worker))
         self.on_start(context, number)
 
@@ -74,8 +74,8 @@
     return asyncio.run(on_loop())
 
 
-def context(dispatcher: Dispatcher, sides: Sides, name: str = "r", seconds: float = 5.0) -> RequestContext:
-    return RequestContext(name, 0, dispatcher.clock.now() + seconds, None, sides)
+def context(dispatcher: Dispatcher, sides: Sides, name: str = "r", seconds: float = 5.0) -> PendingRequest:
+    return PendingRequest(name, 0, dispatcher.clock.now() + seconds, None, sides)
 
 
 def test_events_that_arise_while_actions_run_wait_for_them() -> None:
@@ -95,7 +95,7 @@
     assert [type(e) for e in script.heard] == [i.Arrival, i.Outcome]
     assert [d[0] for d in sides.done] == ["start", "close"]
     assert [a.kind for a in sides.answers] == [AnswerKind.REFUSED]
-    assert not dispatcher.contexts
+    assert not dispatcher.pending
 
 
 def test_first_result_is_the_answer_and_later_ends_are_told_as_over() -> None:
@@ -124,7 +124,7 @@
 
     script, sides, dispatcher = run(lambda e: [i.Send("r", "w0")] if isinstance(e, i.Arrival) else [], play)
     assert [type(e) for e in script.heard] == [i.Arrival, i.ClientLeft, i.Outcome]
-    assert not sides.answers and not dispatcher.contexts
+    assert not sides.answers and not dispatcher.pending
 
 
 def test_balancer_that_fails_or_forgets_costs_no_client_its_answer() -> None:
@@ -158,7 +158,7 @@
 
     script, sides, dispatcher = run(reply, play)
     assert [e.verdict for e in script.heard if isinstance(e, i.Outcome)] == [i.Verdict.ERROR]
-    assert [a.kind for a in sides.answers] == [AnswerKind.FAILED] and not dispatcher.contexts
+    assert [a.kind for a in sides.answers] == [AnswerKind.FAILED] and not dispatcher.pending
 
 
 def test_try_whose_end_never_comes_costs_no_client_its_answer() -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,10 +17,10 @@
 from scenario import FACTS, MESSAGES, MS, PATIENCE, Scene, job
 
 from wickgw.facts import read_settings
-from wickgw.net import clients, discovery, http, peers, watch_timing
-from wickgw.net.peers import PeerConnection
+from wickgw.net import clients, discovery, http, watch_timing, worker_connections
 from wickgw.net.sockets import Connection
 from wickgw.net.watch_timing import WatchTiming
+from wickgw.net.worker_connections import WorkerConnection
 
 PUSHED: dict[str, Any] = {"discovery": "push", "siblings": 200}
 SLOW_TO_OPEN: dict[str, Any] = {"bounds": FACTS["bounds"] | {"connect-timeout-ns": 10_000 * MS}}
@@ -39,23 +39,23 @@
 
 
 class Gate:
-    """Connections to peers stay in their opening until it is opened: the step between a connection that is
+    """Connections to workers stay in their opening until it is opened: the step between a connection that is
     up and the first byte written on it is held."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.held: list[PeerConnection] = []
-        self.shut, real = True, PeerConnection._connected
+        self.held: list[WorkerConnection] = []
+        self.shut, real = True, WorkerConnection._connected
 
-        def connected(connection: PeerConnection) -> None:
+        def connected(connection: WorkerConnection) -> None:
             if self.shut:
                 assert connection.sock is not None
-                connection.peers.loop.remove_writer(connection.sock.fileno())
+                connection.pool.loop.remove_writer(connection.sock.fileno())
                 self.held.append(connection)
             else:
                 real(connection)
 
-        self.real: Callable[[PeerConnection], None] = real
-        monkeypatch.setattr(PeerConnection, "_connected", connected)
+        self.real: Callable[[WorkerConnection], None] = real
+        monkeypatch.setattr(WorkerConnection, "_connected", connected)
 
     def wait(self, scene: Scene, count: int) -> None:
         end = time.monotonic() + PATIENCE
@@ -306,7 +306,7 @@
 ) -> None:
     """The first job is turned away, and some milliseconds later once more. A never-twice job that is written
     on that connection in between would count as never run and go elsewhere, while it runs."""
-    monkeypatch.setattr(peers, "DOUBT", PATIENCE)
+    monkeypatch.setattr(worker_connections, "DOUBT", PATIENCE)
     played(
         """
         d send list 5 whole w0
@@ -333,7 +333,7 @@
 ) -> None:
     """Both workers hand a never-twice job back; tried at the first again by the same connection, its first
     line come twice would say that it never ran while it runs."""
-    monkeypatch.setattr(peers, "DOUBT", PATIENCE)
+    monkeypatch.setattr(worker_connections, "DOUBT", PATIENCE)
     played(
         """
         d send list 5 whole w0 w1
@@ -472,7 +472,7 @@
             node, (pool,) = scene.node, scene.node.pools.all
             assert node.mgmt is not None and node.discovery.connection is not None
             held: dict[str, list[Connection]] = {"client": [*node.clients.connections]}
-            held |= {"peer": [*pool.peers.connections], "discovery": [node.discovery.connection]}
+            held |= {"peer": [*pool.connections.connections], "discovery": [node.discovery.connection]}
             held |= {"call": [*node.mgmt.callers.values()]}
             return {
                 kind: not sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,9 +12,9 @@
 from scenario import Scene
 
 from wickgw.net import clients, discovery, watch_timing
-from wickgw.net.dispatch import Answer, AnswerKind, RequestContext
-from wickgw.net.peers import Job
+from wickgw.net.dispatch import Answer, AnswerKind, PendingRequest
 from wickgw.net.sockets import BASE_MB, RESERVE, Connection, Sockets
+from wickgw.net.worker_connections import Job
 
 SCENES: dict[str, str] = {
     # A request's life.
@@ -559,7 +559,7 @@
 
 def test_try_without_a_descriptor_has_never_run_and_is_held_until_there_is_one() -> None:
     scene = Scene()
-    scene.node.sockets.for_peers = 1
+    scene.node.sockets.for_workers = 1
     try:
         scene.play(
             """
@@ -714,7 +714,7 @@
         scene.play(f"w0 close {how}")
         client = SimpleNamespace(answer=answers.append, has_left=lambda: False)
         due = scene.loop.time() + 3.0
-        scene.node.dispatcher.take(RequestContext("2", 1, due, Job("POST", "/once", b""), client))
+        scene.node.dispatcher.take(PendingRequest("2", 1, due, Job("POST", "/once", b""), client))
 
     try:
         scene.play("a send job 1 once\nw0 gets 1\nw0 send serve 1\na expect 200 OK.*made")
@@ -730,7 +730,7 @@
     async def limits() -> tuple[int, int]:
         sockets = Sockets(asyncio.get_running_loop(), descriptors, memory)
         sockets.close()
-        return sockets.for_clients, sockets.for_peers
+        return sockets.for_clients, sockets.for_workers
 
     ours, peers = asyncio.run(limits())
     assert ours > descriptors / 3 and peers > 50
--- a/tests/test_subsetting_serve.py
+++ b/tests/test_subsetting_serve.py
@@ -73,7 +73,7 @@
 
     def with_connections(self) -> set[str]:
         """The workers that have, or may get, connections."""
-        names = self.run(lambda: set(self.pool.peers.peers))
+        names = self.run(lambda: set(self.pool.connections.endpoints))
         assert isinstance(names, set)
         return names
 
--- a/wickgw/address/driver.py
+++ b/wickgw/address/driver.py
@@ -303,7 +303,7 @@
             self._end(gate)
             return
         for connection in self.clients.through(gate):
-            if connection.context is None and not connection.ending:
+            if connection.pending is None and not connection.ending:
                 connection.fence()
         self.clients.hurry(gate, most - SPARE)
         timer = self.loop.call_later(most, self._end, gate)
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -36,7 +36,8 @@
 LOOKS = 8  # held requests of one kind that are looked at for a worker they may go to
 COPIES, SILENT = 2, 2.5  # of a job not begun; intervals of notes without one
 SLACK = 0.008  # seconds before its time is up at which a held request is answered
-NEVER_RAN = (i.Verdict.FULL, i.Verdict.CONNECT_FAILED, i.Verdict.MOOT)
+NEVER_RAN = (i.Verdict.FULL, i.Verdict.CONNECT_FAILED, i.Verdict.NOT_SENT)
+CALLED_OFF = (i.Verdict.NOT_SENT, i.Verdict.CANCELLED)
 
 
 class Balancer:
@@ -344,7 +345,7 @@
             self._may_be_long(r, attempt, now)
             # One request that nobody can use is its client's fault; a worker that calls all so is sick.
             unusable = event.verdict is i.Verdict.UNUSABLE
-            blameless = (unusable and not w.turned) or event.verdict in (i.Verdict.MOOT, i.Verdict.CANCELLED)
+            blameless = (unusable and not w.turned) or event.verdict in CALLED_OFF
             w.turned = w.turned or unusable
             if attempt.moved or not blameless:
                 # Eases off a worker that fails, is full, silent or out of reach; it comes back by trials.
--- a/wickgw/interface.py
+++ b/wickgw/interface.py
@@ -36,7 +36,7 @@
     CONNECT_FAILED = "connect_failed"  # it never ran
     RESET = "reset"  # the connection broke; it may have run
     CANCELLED = "cancelled"  # called off; it may have run
-    MOOT = "moot"  # never sent at all
+    NOT_SENT = "moot"  # never sent at all
 
 
 class Health(Enum):
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -1,7 +1,7 @@
 """Clients: the listener, client connections, and what is told to operators on the same port.
 
 Owns the listening socket, every client connection, and the one timer that looks after them. A request read
-here becomes a request context and gets the answer that the dispatcher gives it, whole, on the connection it
+here becomes a pending request and gets the answer that the dispatcher gives it, whole, on the connection it
 came by. It must never answer a job by itself once it is taken, nor close a connection that owes an answer,
 nor let connections that bring no jobs keep out those that do.
 """
@@ -19,10 +19,10 @@
 
 from wickgw import interface as i
 from wickgw.net import http
-from wickgw.net.dispatch import Answer, AnswerKind, RequestContext
-from wickgw.net.peers import Job
+from wickgw.net.dispatch import Answer, AnswerKind, PendingRequest
 from wickgw.net.pools import NoRoute, Pools
 from wickgw.net.sockets import Connection, Sockets
+from wickgw.net.worker_connections import Job
 from wickgw.observe import logger
 
 log = logger("wickgw")
@@ -73,7 +73,7 @@
     def __init__(self, clients: "Clients", gate: Gate | None = None) -> None:
         self.clients, self.gate = clients, gate
         self.parser = http.RequestParser()
-        self.context: RequestContext | None = None  # the request that waits for its answer
+        self.pending: PendingRequest | None = None  # the request that waits for its answer
         self.keep = True  # as the request in hand wants it
         self.known = False  # it has brought a job
         self.came_after: float | None = None  # when its first request came at the earliest, if it had to wait
@@ -102,13 +102,13 @@
     @property
     def partial(self) -> bool:
         """A request has begun to come in, and isn't whole."""
-        return self.context is None and not self.ending and self.parser.partial
+        return self.pending is None and not self.ending and self.parser.partial
 
     def received(self, data: bytes) -> None:
         if not self.parser.partial and not self.fresh:
             self.since = self.clients.loop.time()
         self.parser.feed(data)
-        if self.context is None:
+        if self.pending is None:
             self._read()
         elif len(self.parser.buffer) > AHEAD:
             self.cut = self.discarding = True  # reading goes on: paused, its end would lie behind its bytes
@@ -119,7 +119,7 @@
         answered on the spot does not grow the stack."""
         self.reading = True
         try:
-            while self.context is None and not self.ending:
+            while self.pending is None and not self.ending:
                 if self.unwritten > WHOLE_ANSWER:  # whoever asks on and reads nothing fills no memory here
                     raise http.HttpError(413, "answers are not read")
                 request = self.parser.next()
@@ -176,14 +176,14 @@
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.abort()
 
-    def taken(self, context: RequestContext) -> None:
+    def taken(self, pending: PendingRequest) -> None:
         """A request of this connection waits for its answer."""
-        self.context, self.known = context, True
+        self.pending, self.known = pending, True
         self.clients.busy(self)
 
     def answer(self, answer: Answer) -> None:
         """The final answer to the request that was taken."""
-        self.context = None
+        self.pending = None
         self.clients.waits(self)
         if answer.kind is AnswerKind.SERVED:
             self.write(200, answer.result, TEXT)
@@ -223,9 +223,9 @@
         self._leave()
 
     def _leave(self) -> None:
-        context, self.context = self.context, None
-        if context is not None:
-            context.leave()
+        pending, self.pending = self.pending, None
+        if pending is not None:
+            pending.leave()
 
 
 class Listener:
@@ -419,7 +419,7 @@
             if connection.ending:
                 if waited > (UNREAD if connection.unwritten else LINGER):
                     connection.abort()
-            elif waited <= PATIENCE or connection.context is not None or connection.transport is None:
+            elif waited <= PATIENCE or connection.pending is not None or connection.transport is None:
                 continue
             elif connection.partial:
                 connection.keep = False
@@ -472,10 +472,10 @@
             if connection.gone():  # while its request waited to be read, or to be accepted
                 self.counters["left_unread"] += 1
                 return
-            context = RequestContext(name, cls, due, job, connection, slots, tenant, choice.attempts)
-            connection.taken(context)
-            if not self.pools.take(choice, context):
-                connection.context = None
+            pending = PendingRequest(name, cls, due, job, connection, slots, tenant, choice.attempts)
+            connection.taken(pending)
+            if not self.pools.take(choice, pending):
+                connection.pending = None
                 self.waits(connection)
                 connection.reject(409, "Req-Id is in use")
 
@@ -505,7 +505,7 @@
 
     def settle(self, gate: Gate) -> bool:
         """Close those that owe nothing and have sent nothing; whether no request can be taken on any more."""
-        waiting = [c for c in self.through(gate) if c.context is None and not c.ending]
+        waiting = [c for c in self.through(gate) if c.pending is None and not c.ending]
         for connection in waiting:
             if connection.at_rest:
                 self._drop(connection)
@@ -514,8 +514,8 @@
     def hurry(self, gate: Gate, within: float) -> None:
         """Whatever was taken through a gate is answered within so many seconds."""
         for connection in self.through(gate):
-            if connection.context is not None:
-                connection.context.hurry(self.loop.time() + within)
+            if connection.pending is not None:
+                connection.pending.hurry(self.loop.time() + within)
 
     def cut(self, gate: Gate) -> None:
         """End all that came through a gate; requests in hand are over, and the decisions hear of it."""
--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -1,8 +1,8 @@
-"""Request contexts, and the one place where the decisions are asked for and carried out.
+"""Pending requests, and the one place where the decisions are asked for and carried out.
 
-Owns the Balancer, the clock it is told, its Wakes, and a context for each request from its coming until it
-is answered and all its tries have ended. Whoever speaks to clients hands requests in and gets one answer
-for each; whoever speaks to peers is told of tries to start or give up and reports what became of them. It
+Owns the Balancer, the clock it is told, its Wakes, and each request from its coming until it is
+answered and all its attempts have ended. Whoever speaks to clients hands requests in and gets one answer for
+each; whoever speaks to workers is told of attempts to start or give up and reports what became of them. It
 must never choose a worker, a retry, a refusal or a delay, call the Balancer from two places, or know what a
 protocol looks like: a second one for clients, or another source of lists, joins by the same few methods.
 """
@@ -22,7 +22,7 @@
 from wickgw.observe import logger
 
 log = logger("wickgw")
-GRACE = 0.003  # seconds that the guard leaves to tries that time out at the same moment
+GRACE = 0.003  # seconds that the guard leaves to attempts that time out at the same moment
 STALL = 0.05  # seconds by which a Wake is late when the loop has stood still; counted, so that it is seen
 
 
@@ -54,7 +54,7 @@
     """The one final answer to a request."""
 
     kind: AnswerKind
-    result: bytes = b""  # what a peer made, for SERVED
+    result: bytes = b""  # what a worker made, for SERVED
     retry_after: float = 0.0  # seconds, for REFUSED
 
 
@@ -68,39 +68,39 @@
         """Whether the client has ended its side, though the loop may not have come to that yet."""
 
 
-class PeerSide(Protocol):
-    """What carries tries out."""
+class WorkerSide(Protocol):
+    """What carries attempts out."""
 
-    def start(self, context: "RequestContext", number: int, worker: str, until: float) -> None:
-        """Start a try; its end is reported by `Dispatcher.ended`, exactly once."""
+    def start(self, pending: "PendingRequest", number: int, worker: str, until: float) -> None:
+        """Start an attempt; its end is reported by `Dispatcher.ended`, exactly once."""
 
     def hurry(self, until: float, request: str | None = None) -> None:
-        """No try (of that request) is waited for any longer than that."""
+        """No attempt (of that request) is waited for any longer than that."""
 
     def cancel(self, request: str, number: int) -> None:
-        """Give a try up, if it is still out."""
+        """Give an attempt up, if it is still out."""
 
     def withdraw(self, request: str, number: int) -> None:
-        """Give a try up if nothing of it is written yet: its request is over."""
+        """Give an attempt up if nothing of it is written yet: its request is over."""
 
     def close_idle(self, worker: str) -> None:
-        """Close the idle connections to a peer."""
+        """Close the idle connections to a worker."""
 
 
 @dataclass(slots=True, eq=False)
-class RequestContext:
-    """One request, from its coming until it is answered and its last try has ended."""
+class PendingRequest:
+    """One request, from its coming until it is answered and its last attempt has ended."""
 
     id: str
     cls: int
     due: float  # the final answer is out by then
-    job: Any  # what the client's side hands to the peers' side; not looked at here
+    job: Any  # what the client's side hands to the workers' side; not looked at here
     client: ClientSide | None  # None once answered or gone
     slots: float = 1.0
     tenant: int = 0  # index into the settings' tenants; -1: none of them
     most: int | None = None  # attempts, if its route allows fewer
     home: "Dispatcher | None" = None  # whose it is, once taken
-    tries: int = 0  # started
+    attempts: int = 0  # started
     out: dict[int, str] = field(default_factory=dict)  # those without an outcome, and at which worker
     guard: asyncio.TimerHandle | None = None
 
@@ -119,16 +119,16 @@
     """Runs one Balancer on the loop: events in, actions carried out in order."""
 
     def __init__(
-        self, balancer: Balancer, loop: asyncio.AbstractEventLoop, clock: Clock, peers: PeerSide
+        self, balancer: Balancer, loop: asyncio.AbstractEventLoop, clock: Clock, workers: WorkerSide
     ) -> None:
-        self.balancer, self.loop, self.clock, self.peers = balancer, loop, clock, peers
-        self.contexts: dict[str, RequestContext] = {}
+        self.balancer, self.loop, self.clock, self.workers = balancer, loop, clock, workers
+        self.pending: dict[str, PendingRequest] = {}
         self.on_attempt_ended: Callable[[str, i.Verdict], None] | None = None
         self.counters: Counter[str] = Counter()
         self.max_stall = 0.0
         self.longest: tuple[float, str] = (0.0, "")  # the longest step of the decisions: seconds, and on what
         self.stop_by: float | None = None  # the process ends then
-        self._just_read: RequestContext | None = None  # its client was there a moment ago, in this callback
+        self._just_read: PendingRequest | None = None  # its client was there a moment ago, in this callback
         self._events: deque[i.Event] = deque()
         self._running = False
         self._wakes: dict[int, asyncio.TimerHandle] = {}
@@ -137,7 +137,7 @@
     @property
     def owed(self) -> int:
         """Requests without their final answer."""
-        return sum(c.client is not None for c in self.contexts.values())
+        return sum(c.client is not None for c in self.pending.values())
 
     # What the sides report.
 
@@ -151,95 +151,95 @@
         self.counters["lists"] += 1
         self._feed(i.WorkerList(kind, entries))
 
-    def take(self, context: RequestContext) -> bool:
+    def take(self, pending: PendingRequest) -> bool:
         """A request has come; from here on it is owed an answer. False if its id is still in use."""
-        if context.id in self.contexts:
+        if pending.id in self.pending:
             return False
         self.counters["taken"] += 1
-        context.home = self
+        pending.home = self
         if self.stop_by is not None:
-            context.due = min(context.due, self.stop_by)
-        self.contexts[context.id] = context
+            pending.due = min(pending.due, self.stop_by)
+        self.pending[pending.id] = pending
         # The Balancer answers in time by itself. Should it fail at that, the client is still told.
-        self._guard(context)
-        patience = context.due - self.clock.now()
-        self._just_read = context
-        self._feed(i.Arrival(context.id, context.cls, patience, context.tenant, context.slots, context.most))
+        self._guard(pending)
+        patience = pending.due - self.clock.now()
+        self._just_read = pending
+        self._feed(i.Arrival(pending.id, pending.cls, patience, pending.tenant, pending.slots, pending.most))
         self._just_read = None
         return True
 
-    def left(self, context: RequestContext) -> None:
-        """The client is gone; tries that are written are followed to their end, no other is written now."""
-        if context.client is None:
+    def left(self, pending: PendingRequest) -> None:
+        """The client is gone; written attempts are followed to their end, no other is written now."""
+        if pending.client is None:
             return
         self.counters["answer.client_left"] += 1
-        self._conclude(context)
-        self._feed(i.ClientLeft(context.id))
-        self._withdraw(context)
-        self._forget(context)
+        self._conclude(pending)
+        self._feed(i.ClientLeft(pending.id))
+        self._withdraw(pending)
+        self._forget(pending)
 
-    def may_write(self, context: RequestContext) -> bool:
+    def may_write(self, pending: PendingRequest) -> bool:
         """Whether an attempt may still be written: looked at in the moment before its first byte.
 
         A loop that stood still finds the client's end, due timers and workers' answers in one turn, in any
         order; an attempt that follows from one of the others must not overtake the end.
         """
-        client = context.client
-        if client is not None and context is not self._just_read and client.has_left():
+        client = pending.client
+        if client is not None and pending is not self._just_read and client.has_left():
             self.counters["left_before_attempt"] += 1
-            self.left(context)
-        return context.client is not None
+            self.left(pending)
+        return pending.client is not None
 
     def started(self, request: str, number: int) -> None:
-        """A peer has begun a try."""
+        """A worker has begun an attempt."""
         self._feed(i.Started(request, number))
 
     def progress(self, request: str, number: int, share: float = 0.0) -> None:
-        """A peer is still at a try, and says how much of the job is done (0: it doesn't)."""
+        """A worker is still at an attempt, and says how much of the job is done (0: it doesn't)."""
         self.counters["progress"] += 1
         self._feed(i.Progress(request, number, share))
 
     def ended(
         self, request: str, number: int, verdict: i.Verdict, result: bytes = b"", free: float | None = None
     ) -> None:
-        """The one end of a try, with the free slots that the peer reported. The first that is served is the
-        answer."""
-        context = self.contexts.get(request)
-        if context is None or number not in context.out:  # told already, see _start
+        """The one end of an attempt, with the free slots that the worker reported. The first that is served
+        is the answer."""
+        pending = self.pending.get(request)
+        if pending is None or number not in pending.out:  # told already, see _start
             return
         self.counters[f"try.{verdict.value}"] += 1
-        worker = context.out.pop(number)
+        worker = pending.out.pop(number)
         if verdict is i.Verdict.OK:
-            self._answer(context, Answer(AnswerKind.SERVED, result))
-        self._feed(i.Outcome(request, number, verdict, over=context.client is None, free=free))
+            self._answer(pending, Answer(AnswerKind.SERVED, result))
+        self._feed(i.Outcome(request, number, verdict, over=pending.client is None, free=free))
         if self.on_attempt_ended is not None:
             self.on_attempt_ended(worker, verdict)
-        self._withdraw(context)
-        self._forget(context)
+        self._withdraw(pending)
+        self._forget(pending)
 
     def stop(self, within: float) -> None:
         """The process ends in so many seconds: whatever is owed is answered before."""
         self.stop_by = self.clock.now() + within
-        for context in self.contexts.values():
-            if context.client is not None and context.due > self.stop_by:
-                context.due = self.stop_by
-                self._guard(context)
-        self.peers.hurry(self.stop_by)
+        for pending in self.pending.values():
+            if pending.client is not None and pending.due > self.stop_by:
+                pending.due = self.stop_by
+                self._guard(pending)
+        self.workers.hurry(self.stop_by)
         self._feed(i.Stopping(within))
 
-    def hurry(self, context: RequestContext, due: float) -> None:
+    def hurry(self, pending: PendingRequest, due: float) -> None:
         """What this request is owed must be out by then, whatever its client has said."""
-        if context.client is None or context.due <= due:
+        if pending.client is None or pending.due <= due:
             return
         self.counters["hurried"] += 1
-        context.due = due
-        self._guard(context)
-        self.peers.hurry(due, context.id)
-        self._feed(i.Hurry(context.id, max(0.0, due - self.clock.now())))
+        pending.due = due
+        self._guard(pending)
+        self.workers.hurry(due, pending.id)
+        self._feed(i.Hurry(pending.id, max(0.0, due - self.clock.now())))
 
     def close(self) -> None:
         """Give back every timer."""
-        for handle in [*self._wakes.values(), *(c.guard for c in self.contexts.values() if c.guard)]:
+        for handle in [*self._wakes.values(), *(c.guard for c in self.pending.values() if c.guard)]:
             handle.cancel()
         self._wakes.clear()
 
@@ -282,32 +282,32 @@
     def _run(self, action: i.Action) -> None:
         match action:
             case i.Send(request, worker, timeout):
-                self._start(self.contexts[request], worker, timeout)
+                self._start(self.pending[request], worker, timeout)
             case i.Cancel(request, number):
-                self.peers.cancel(request, number)
+                self.workers.cancel(request, number)
             case i.Close(worker):
-                self.peers.close_idle(worker)
+                self.workers.close_idle(worker)
             case i.Refuse(request, after):
-                self._give_up(self.contexts[request], Answer(AnswerKind.REFUSED, retry_after=after))
+                self._give_up(self.pending[request], Answer(AnswerKind.REFUSED, retry_after=after))
             case i.Fail(request):
-                self._give_up(self.contexts[request], Answer(AnswerKind.FAILED))
+                self._give_up(self.pending[request], Answer(AnswerKind.FAILED))
             case i.Wake(name, after):
                 serial, due = next(self._serial), self.loop.time() + after
                 self._wakes[serial] = self.loop.call_at(due, self._wake, serial, name, due)
             case i.Subscribe():
                 pass  # discovery watches from the start, whatever the settings say of asking
 
-    def _start(self, context: RequestContext, worker: str, timeout: float) -> None:
-        until = min(context.due, self.clock.now() + timeout) if timeout > 0 else context.due
-        number, context.tries = context.tries, context.tries + 1
-        context.out[number] = worker
+    def _start(self, pending: PendingRequest, worker: str, timeout: float) -> None:
+        until = min(pending.due, self.clock.now() + timeout) if timeout > 0 else pending.due
+        number, pending.attempts = pending.attempts, pending.attempts + 1
+        pending.out[number] = worker
         self.counters["tries"] += 1
         try:
-            self.peers.start(context, number, worker, until)
+            self.workers.start(pending, number, worker, until)
         except Exception:  # no end of it may ever come, and the Balancer waits for one: it may have run
             self.counters["errors"] += 1
             log.exception("try.not-started")
-            self.ended(context.id, number, i.Verdict.ERROR)
+            self.ended(pending.id, number, i.Verdict.ERROR)
 
     def _wake(self, serial: int, name: str, due: float) -> None:
         del self._wakes[serial]
@@ -317,48 +317,48 @@
             self.max_stall = max(self.max_stall, late)
         self._feed(i.Timer(name))
 
-    # Contexts.
+    # Pending requests.
 
-    def _give_up(self, context: RequestContext, answer: Answer) -> None:
-        self._answer(context, answer)
-        self._withdraw(context)
+    def _give_up(self, pending: PendingRequest, answer: Answer) -> None:
+        self._answer(pending, answer)
+        self._withdraw(pending)
 
-    def _answer(self, context: RequestContext, answer: Answer) -> None:
-        client = context.client
+    def _answer(self, pending: PendingRequest, answer: Answer) -> None:
+        client = pending.client
         if client is None:  # a second copy's end, or the client is gone
             return
         self.counters[f"answer.{answer.kind.value}"] += 1
-        self._conclude(context)
+        self._conclude(pending)
         client.answer(answer)
-        self._forget(context)
+        self._forget(pending)
 
-    def _conclude(self, context: RequestContext) -> None:
-        context.client = None
-        if context.guard is not None:
-            context.guard.cancel()
-            context.guard = None
+    def _conclude(self, pending: PendingRequest) -> None:
+        pending.client = None
+        if pending.guard is not None:
+            pending.guard.cancel()
+            pending.guard = None
 
-    def _withdraw(self, context: RequestContext) -> None:
+    def _withdraw(self, pending: PendingRequest) -> None:
         """Of a request that is over nothing more is written. Said to the Balancer after the end itself."""
-        for number in sorted(context.out) if context.client is None else ():
-            self.peers.withdraw(context.id, number)
+        for number in sorted(pending.out) if pending.client is None else ():
+            self.workers.withdraw(pending.id, number)
 
-    def _forget(self, context: RequestContext) -> None:
-        if context.client is None and not context.out:
-            self.contexts.pop(context.id, None)
+    def _forget(self, pending: PendingRequest) -> None:
+        if pending.client is None and not pending.out:
+            self.pending.pop(pending.id, None)
 
-    def _guard(self, context: RequestContext) -> None:
-        if context.guard is not None:
-            context.guard.cancel()
-        context.guard = self.loop.call_at(context.due, self._overdue, context)
+    def _guard(self, pending: PendingRequest) -> None:
+        if pending.guard is not None:
+            pending.guard.cancel()
+        pending.guard = self.loop.call_at(pending.due, self._overdue, pending)
 
-    def _overdue(self, context: RequestContext, again: bool = False) -> None:
-        """The guard. Tries time out at this very moment too: the Balancer is left to hear of them first."""
-        if context.client is not None and (again or not context.out):
+    def _overdue(self, pending: PendingRequest, again: bool = False) -> None:
+        """The guard. Attempts time out in this moment too: the Balancer is left to hear of them first."""
+        if pending.client is not None and (again or not pending.out):
             self.counters["guarded"] += 1
-            log.error("request.guarded", id=context.id)
-            self._answer(context, Answer(AnswerKind.FAILED))
-            self._feed(i.ClientLeft(context.id))
-            self._withdraw(context)
-        elif context.client is not None:
-            context.guard = self.loop.call_later(GRACE, self._overdue, context, True)
+            log.error("request.guarded", id=pending.id)
+            self._answer(pending, Answer(AnswerKind.FAILED))
+            self._feed(i.ClientLeft(pending.id))
+            self._withdraw(pending)
+        elif pending.client is not None:
+            pending.guard = self.loop.call_later(GRACE, self._overdue, pending, True)
--- a/wickgw/net/pools.py
+++ b/wickgw/net/pools.py
@@ -18,9 +18,9 @@
 from wickgw.balance import Balancer
 from wickgw.config.relay import Config, ConfigError
 from wickgw.net import http
-from wickgw.net.dispatch import Clock, Dispatcher, RequestContext
-from wickgw.net.peers import Peers
+from wickgw.net.dispatch import Clock, Dispatcher, PendingRequest
 from wickgw.net.sockets import Sockets
+from wickgw.net.worker_connections import WorkerConnections
 from wickgw.net.worker_list import Target
 from wickgw.observe import logger
 
@@ -58,9 +58,11 @@
 
             settings = sizing.settings_for_subset(settings, core.size.memberships)
             self.subset = subset_driver.SubsetDriver(core, loop, clock, self._show)
-        self.peers = Peers(loop, sockets, settings.connect_timeout, settings.idle_close, settings.free_slots)
+        self.connections = WorkerConnections(
+            loop, sockets, settings.connect_timeout, settings.idle_close, settings.free_slots
+        )
         balancer = Balancer(settings, config.seed + zlib.crc32(name.encode()))  # 0 for the one without a name
-        self.dispatcher = self.peers.dispatcher = Dispatcher(balancer, loop, clock, self.peers)
+        self.dispatcher = self.connections.dispatcher = Dispatcher(balancer, loop, clock, self.connections)
         if self.subset is not None:
             self.dispatcher.on_attempt_ended = self.subset.attempt_ended
         self.states: dict[str, i.Health] = {}  # of its workers
@@ -73,7 +75,7 @@
             self.subset.told(i.ListKind.REPLACE, mine)
             return
         for target in mine:
-            self.peers.place(target.entry.worker, target.endpoint, target.entry.since)
+            self.connections.place(target.entry.worker, target.endpoint, target.entry.since)
             self.states[target.entry.worker] = target.entry.health
         self.dispatcher.begin(tuple(target.entry for target in mine))
 
@@ -92,7 +94,7 @@
         for target in targets:
             entry, worker, mine = target.entry, target.entry.worker, self.has(target)
             if mine and entry.health is not i.Health.GONE:
-                self.peers.place(worker, target.endpoint, entry.since)
+                self.connections.place(worker, target.endpoint, entry.since)
                 entries.append(entry)
             elif mine or worker in self.states:  # gone from the list, or from this pool
                 gone.add(worker)
@@ -108,9 +110,9 @@
             self.dispatcher.listed(kind, tuple(entries))
         for entry in entries:
             if entry.health is i.Health.DRAINING:
-                self.peers.withdraw_from(entry.worker)
+                self.connections.withdraw_from(entry.worker)
         for worker in gone:
-            self.peers.remove(worker)
+            self.connections.remove(worker)
 
     @property
     def counts(self) -> tuple[int, int]:
@@ -122,7 +124,10 @@
         """Counters, and what it holds now."""
         ready, draining = self.counts
         held = {"owed": self.dispatcher.owed, "ready": ready, "draining": draining}
-        held |= {"tries_out": len(self.peers.tries), "peer_connections": len(self.peers.connections)}
+        held |= {
+            "tries_out": len(self.connections.attempts),
+            "peer_connections": len(self.connections.connections),
+        }
         held |= self.subset.counts if self.subset is not None else {}
         return {"counters": dict(self.dispatcher.counters), "now": held}
 
@@ -131,7 +136,7 @@
         if self.subset is not None:
             self.subset.close()
         self.dispatcher.close()
-        self.peers.close()
+        self.connections.close()
 
 
 @dataclass(frozen=True, slots=True)
@@ -258,11 +263,11 @@
             self.ties.add(names)
             log.warning("route.tied", routes=" ".join(names), request=asked.told())
 
-    def take(self, choice: Choice, context: RequestContext) -> bool:
+    def take(self, choice: Choice, pending: PendingRequest) -> bool:
         """A request has come; False if its id is still in use, in whatever pool."""
-        if self.table and any(context.id in s.dispatcher.contexts for s in self.all):
+        if self.table and any(pending.id in s.dispatcher.pending for s in self.all):
             return False
-        return choice.pool.dispatcher.take(context)
+        return choice.pool.dispatcher.take(pending)
 
     # Reload.
 
@@ -293,7 +298,7 @@
         if self._sweeper is not None:
             self._sweeper.cancel()
             self._sweeper = None
-        for server in [s for s in self.retired if not s.dispatcher.contexts]:
+        for server in [s for s in self.retired if not s.dispatcher.pending]:
             self.counters["pools.ended"] += 1
             server.close()
             self.retired.remove(server)
@@ -319,10 +324,10 @@
         longest, on = max(s.dispatcher.longest for s in every)
         now: dict[str, object] = {
             "owed": self.owed,
-            "tries_out": sum(len(s.peers.tries) for s in every),
-            "peer_connections": sum(len(s.peers.connections) for s in every),
-            "peers": len({worker for s in every for worker in s.peers.peers}),
-            "peer_connections_opened": sum(s.peers.opened for s in every),
+            "tries_out": sum(len(s.connections.attempts) for s in every),
+            "peer_connections": sum(len(s.connections.connections) for s in every),
+            "peers": len({worker for s in every for worker in s.connections.endpoints}),
+            "peer_connections_opened": sum(s.connections.opened for s in every),
             "max_stall_ms": round(max(s.dispatcher.max_stall for s in every) * 1000, 1),
             "longest_step_ms": round(longest * 1000, 1),
             "longest_step_on": on,
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -1,4 +1,4 @@
-"""Descriptors and transports: what client connections, peer connections and discovery have in common.
+"""Descriptors and transports: what client connections, worker connections and discovery have in common.
 
 Owns the count of descriptors each side may hold, the buffer that all reads go through, and the few tasks
 that turn connected sockets into asyncio transports (asyncio offers that only as a coroutine; tasks that live
@@ -18,19 +18,19 @@
 RESERVE = 24  # descriptors for the listener, discovery, the loop itself, logs and imports
 BASE_MB = 36  # what the process holds without a connection, 28 as measured, and some
 OPENERS = 4  # tasks for each side: opening one takes some turns of the loop, and others wait behind it
-# Clients, peers and discovery, and operators' calls: a flood on one side must not delay another.
-SIDES = {"clients": OPENERS, "peers": OPENERS, "mgmt": 1}
+# Clients, workers and discovery, and operators' calls: a flood on one side must not delay another.
+SIDES = {"clients": OPENERS, "workers": OPENERS, "mgmt": 1}
 FOR_CLIENTS = 0.6  # of the other descriptors: usual clients hold a third of all, the rest is room for others
 # A read is finished before the loop turns to the next one, so all connections can share one buffer.
 _SCRATCH = memoryview(bytearray(32 * 1024))
 # What a connection costs, as budgeted: its objects (about 3 KB for a client connection, measured) and a
 # share of the buffers that it holds at their bounds (a head, a body and an answer of a client, 144 KB; a
-# request on its way out and a response's line, 148 KB, for a peer; the buffer that all reads go through is
+# request on its way out and a response's line, 148 KB, for a worker; the buffer that all reads go through is
 # shared). Most connections hold nothing between messages, and no more than one in six holds its bounds at
-# once. Budgeting every one at its bounds left 9 peer connections of 40 MB, so that requests waited 1.8 s
-# for a first try.
+# once. Budgeting every one at its bounds left 9 worker connections of 40 MB, so that requests waited 1.8 s
+# for a first attempt.
 _CLIENT = 3 * 1024 + (16 * 1024 + 64 * 1024 + 64 * 1024) // 6
-_PEER = 6 * 1024 + (80 * 1024 + 68 * 1024) // 6
+_WORKER = 6 * 1024 + (80 * 1024 + 68 * 1024) // 6
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -96,8 +96,8 @@
         """For the subclass: no transport could be had for its socket, which is closed."""
 
 
-class PeerConnections(Protocol):
-    """One pool's connections to peers."""
+class PoolConnections(Protocol):
+    """One pool's connections to workers."""
 
     connections: set[Any]
 
@@ -112,8 +112,8 @@
         self.loop = loop
         self.limit(descriptors, memory_mb)
         self.opening = 0  # sockets that have no transport yet
-        self.sides: list[PeerConnections] = []  # one for each pool
-        # A flood of clients must not delay a try, discovery or a call: each side has tasks of its own.
+        self.sides: list[PoolConnections] = []  # one for each pool
+        # A flood of clients must not delay an attempt, discovery or a call: each side has tasks of its own.
         self._connected = {side: asyncio.Queue[tuple[socket.socket, Connection]]() for side in SIDES}
         self._tasks = [
             loop.create_task(self._open(self._connected[side])) for side, n in SIDES.items() for _ in range(n)
@@ -126,18 +126,18 @@
         # Operators' callers: few, and those that say nothing are let go within a second or two.
         self.for_calls = max(4, min(16, most // 32))
         free = most - min(RESERVE, most // 3) - self.for_calls
-        clients, peers = free * FOR_CLIENTS, free * (1 - FOR_CLIENTS)
-        fit = min(1.0, (memory_mb - BASE_MB) * 1e6 / (clients * _CLIENT + peers * _PEER))
-        self.for_clients, self.for_peers = max(8, int(clients * fit)), max(8, int(peers * fit))
+        clients, workers = free * FOR_CLIENTS, free * (1 - FOR_CLIENTS)
+        fit = min(1.0, (memory_mb - BASE_MB) * 1e6 / (clients * _CLIENT + workers * _WORKER))
+        self.for_clients, self.for_workers = max(8, int(clients * fit)), max(8, int(workers * fit))
 
-    def peers_left(self, side: "PeerConnections") -> int:
+    def left_for_workers(self, side: "PoolConnections") -> int:
         """Connections that a pool may still open. Half of an even share is kept for each of the others, so
         that one pool's trouble does not take the descriptors of all."""
-        share = self.for_peers // (2 * max(1, len(self.sides)))
+        share = self.for_workers // (2 * max(1, len(self.sides)))
         kept = (max(share, len(o.connections)) for o in self.sides if o is not side)
-        return self.for_peers - sum(kept) - len(side.connections)
+        return self.for_workers - sum(kept) - len(side.connections)
 
-    def adopt(self, sock: socket.socket, connection: Connection, side: str = "peers") -> None:
+    def adopt(self, sock: socket.socket, connection: Connection, side: str = "workers") -> None:
         """Give a connected socket to its connection; the transport owns the descriptor from then on."""
         self.opening += 1
         connection.sock = sock
--- a/wickgw/net/subset_driver.py
+++ b/wickgw/net/subset_driver.py
@@ -43,7 +43,7 @@
 
     def attempt_ended(self, worker: str, verdict: i.Verdict) -> None:
         """An attempt has ended; what was called off or never sent tells nothing of its worker."""
-        if verdict not in (i.Verdict.CANCELLED, i.Verdict.MOOT, i.Verdict.UNUSABLE):
+        if verdict not in (i.Verdict.CANCELLED, i.Verdict.NOT_SENT, i.Verdict.UNUSABLE):
             self._feed(AttemptEnded(worker, verdict is i.Verdict.OK))
 
     @property
--- a/wickgw/net/peers.py
+++ b/wickgw/net/worker_connections.py
@@ -1,9 +1,10 @@
-"""Peers: connections to label workers, the pool of idle ones, and the tries that run on them.
+"""Connections to label workers, the pool of idle ones, and the attempts that run on them.
 
-Owns every socket to a peer, every timer of a try, and the addresses of the peers. Each try ends in exactly
-one outcome, given in `_Try.end`; each connection is given back in `PeerConnection.connection_lost` or,
-before it has a transport, in `PeerConnection._give_up_opening`. It must never send a try again by itself,
-call a try "never ran" unless its last byte was still here, or make up a result.
+Owns every socket to a worker, every timer of an attempt, and the addresses of the workers. Each attempt ends
+in exactly one outcome, given in `Attempt.end`; each connection is given back in
+`WorkerConnection.connection_lost` or, before it has a transport, in `WorkerConnection._give_up_opening`. It
+must never send an attempt again by itself, call one "never ran" unless its last byte was still here, or
+make up a result.
 """
 
 import asyncio
@@ -18,7 +19,7 @@
 from wickgw import interface as i
 from wickgw.facts import read_load, read_share
 from wickgw.net import http
-from wickgw.net.dispatch import Dispatcher, RequestContext
+from wickgw.net.dispatch import Dispatcher, PendingRequest
 from wickgw.net.listen import address
 from wickgw.net.sockets import Connection, Sockets
 from wickgw.observe import logger
@@ -28,8 +29,8 @@
 MAX_RESPONSE = 1 << 20  # all lines of one try: hours of progress
 LAST = {"failed": i.Verdict.ERROR, "returned": i.Verdict.FULL, "lost": i.Verdict.RESET}
 # Seconds that a connection rests after an answer without the request's id, or one that hands it back, before
-# it carries another try: a second one, some milliseconds late, would be taken for the next try's, and "never
-# ran" for the truth.
+# it carries another attempt: a second one, some milliseconds late, would be taken for the next attempt's, and
+# "never ran" for the truth.
 DOUBT = 0.05
 LINGER = 1.0  # seconds that the framing may end after the last job event
 TRUST = 0.9  # share of the settings' idle time after which a connection is closed from this side
@@ -43,7 +44,7 @@
     state: str
     result: str | None = None
     share: Any = None  # of the job that is done
-    load: Any = None  # the peer's load report. Nonsense in either is passed over: the job is none the worse
+    load: Any = None  # the worker's load report. Nonsense in either is passed over: the job is none the worse
 
 
 JOB_EVENT = msgspec.json.Decoder(JobEvent)
@@ -59,18 +60,18 @@
     key: str | None = None  # of a request whose repeats workers drop: they know them by it
 
 
-class _Try:
-    """One try. It holds its timer, and its connection while one carries it."""
+class Attempt:
+    """One attempt. It holds its timer, and its connection while one carries it."""
 
-    def __init__(self, peers: "Peers", context: RequestContext, number: int, until: float) -> None:
-        self.peers, self.context, self.number, self.until = peers, context, number, until
-        self.connection: PeerConnection | None = None
+    def __init__(self, pool: "WorkerConnections", pending: PendingRequest, number: int, until: float) -> None:
+        self.pool, self.pending, self.number, self.until = pool, pending, number, until
+        self.connection: WorkerConnection | None = None
         self.over = False
-        self.free: float | None = None  # slots free at the peer, if it has reported them
-        self.timer = peers.loop.call_at(until, self.give_up, i.Verdict.TIMEOUT)
+        self.free: float | None = None  # slots free at the worker, if it has reported them
+        self.timer = pool.loop.call_at(until, self.give_up, i.Verdict.TIMEOUT)
 
     @property
-    def opening(self) -> "PeerConnection | None":
+    def opening(self) -> "WorkerConnection | None":
         """The connection that it waits for: nothing of it is written."""
         return self.connection if self.connection is not None and not self.connection.begun else None
 
@@ -79,19 +80,19 @@
         if until < self.until:
             self.timer.cancel()
             self.until = until
-            self.timer = self.peers.loop.call_at(until, self.give_up, i.Verdict.TIMEOUT)
+            self.timer = self.pool.loop.call_at(until, self.give_up, i.Verdict.TIMEOUT)
 
     def request(self) -> bytes:
         """Its bytes, with the time that is left now."""
-        job: Job = self.context.job
-        left = max(1, int((self.until - self.peers.loop.time()) * 1000))
-        fields = {"Host": "app.svc", "Req-Id": self.context.id, "Req-Deadline-Ms": str(left)}
+        job: Job = self.pending.job
+        left = max(1, int((self.until - self.pool.loop.time()) * 1000))
+        fields = {"Host": "app.svc", "Req-Id": self.pending.id, "Req-Deadline-Ms": str(left)}
         if job.key is not None:
             fields["Idempotency-Key"] = job.key
         return http.request(job.method, job.target, fields, job.body)
 
     def give_up(self, verdict: i.Verdict) -> None:
-        """Stop waiting: the connection is closed, which tells the peer."""
+        """Stop waiting: the connection is closed, which tells the worker."""
         connection, self.connection = self.connection, None
         if connection is not None:
             # Whatever has not left the buffer never will: the connection is aborted before this is said.
@@ -101,37 +102,37 @@
         self.end(verdict)
 
     def end(self, verdict: i.Verdict, result: bytes = b"") -> None:
-        """The one place where a try ends; what comes later is too late."""
+        """The one place where an attempt ends; what comes later is too late."""
         if self.over:
             return
         self.over = True
         self.timer.cancel()
-        del self.peers.tries[self.context.id, self.number]
-        self.peers.dispatcher.ended(self.context.id, self.number, verdict, result, self.free)
+        del self.pool.attempts[self.pending.id, self.number]
+        self.pool.dispatcher.ended(self.pending.id, self.number, verdict, result, self.free)
 
 
 @dataclass(slots=True, eq=False)
-class _Peer:
+class WorkerEndpoint:
     """One label worker: where it listens and which connections to it are idle, the newest last."""
 
-    endpoint: str
+    address: str
     since: float | None  # its last start
     listed: bool = True  # as it stands here; False once it is gone, has moved or has started anew
-    idle: list["PeerConnection"] = field(default_factory=list)
+    idle: list["WorkerConnection"] = field(default_factory=list)
 
 
-class PeerConnection(Connection):
-    """One connection to a peer: it opens, carries one try at a time, and idles between them."""
+class WorkerConnection(Connection):
+    """One connection to a worker: it opens, carries one attempt at a time, and idles between them."""
 
-    def __init__(self, peers: "Peers", peer: _Peer, try_: _Try) -> None:
-        self.peers, self.peer = peers, peer
-        self.try_: _Try | None = try_
+    def __init__(self, pool: "WorkerConnections", endpoint: WorkerEndpoint, attempt: Attempt) -> None:
+        self.pool, self.endpoint = pool, endpoint
+        self.attempt: Attempt | None = attempt
         self.parser = http.ResponseParser()
         self.status: http.Head | None = None
         self.outcome: tuple[i.Verdict, bytes] | None = None  # what the last line said
         self.line = bytearray()
         self.size = 0
-        self.written = False  # the last byte of the try's request has left the transport's buffer
+        self.written = False  # the last byte of the attempt's request has left the transport's buffer
         self.closed = False
         self.idle_since = 0.0
         self.adopted = False  # the socket is the transport's, or on its way there
@@ -141,11 +142,11 @@
     # Opening.
 
     def open(self) -> None:
-        """Begin to connect. Whatever goes wrong ends the try as could-not-connect."""
-        loop = self.peers.loop
+        """Begin to connect. Whatever goes wrong ends the attempt as could-not-connect."""
+        loop = self.pool.loop
         try:
             self.sock = sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-            code = sock.connect_ex(address(self.peer.endpoint))
+            code = sock.connect_ex(address(self.endpoint.address))
         except (OSError, ValueError) as error:
             log.warning("try.no-socket", error=str(error))
             self._give_up_opening()
@@ -153,20 +154,20 @@
         if code not in (0, errno.EINPROGRESS):
             self._give_up_opening()
             return
-        self.timer = loop.call_later(self.peers.connect_timeout, self._give_up_opening)
+        self.timer = loop.call_later(self.pool.connect_timeout, self._give_up_opening)
         loop.add_writer(sock.fileno(), self._connected)
 
     def _connected(self) -> None:
         assert self.sock is not None
-        self.peers.loop.remove_writer(self.sock.fileno())
+        self.pool.loop.remove_writer(self.sock.fileno())
         if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self._give_up_opening()
         else:
             self.adopted = True
-            self.peers.sockets.adopt(self.sock, self)
+            self.pool.sockets.adopt(self.sock, self)
 
     def _give_up_opening(self) -> None:
-        """Refused, out of reach, or no longer wanted: nothing was written, so the try never ran."""
+        """Refused, out of reach, or no longer wanted: nothing was written, so the attempt never ran."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -174,18 +175,18 @@
             return
         self.closed = True
         if self.sock is not None and not self.adopted:
-            self.peers.loop.remove_writer(self.sock.fileno())
+            self.pool.loop.remove_writer(self.sock.fileno())
             self.sock.close()
         self.sock = None
         if not self.adopted:
-            self.peers.forget(self)
+            self.pool.forget(self)
         self._end(i.Verdict.CONNECT_FAILED)
 
     def never_opened(self) -> None:
         self.adopted = False
         self.sock = None
         if self.closed:
-            self.peers.forget(self)
+            self.pool.forget(self)
         else:
             self._give_up_opening()
 
@@ -193,31 +194,31 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        if self.closed or self.try_ is None:  # given up while the transport was made
+        if self.closed or self.attempt is None:  # given up while the transport was made
             self.abort()
             return
         assert self.transport is not None
         self.transport.set_write_buffer_limits(high=0)  # resume_writing then means: all is written
-        self.peers.opened += 1
+        self.pool.opened += 1
         self._write()
 
-    # Carrying a try.
+    # Carrying an attempt.
 
-    def carry(self, try_: _Try) -> None:
-        """Take a try on this idle connection."""
-        self.try_, self.begun = try_, False
+    def carry(self, attempt: Attempt) -> None:
+        """Take an attempt on this idle connection."""
+        self.attempt, self.begun = attempt, False
         self._write()
 
     def _write(self) -> None:
-        assert self.try_ is not None and self.transport is not None
-        if not self.peers.dispatcher.may_write(self.try_.context):
-            if self.try_ is not None:  # not withdrawn with its request
-                self.try_.give_up(i.Verdict.MOOT)
+        assert self.attempt is not None and self.transport is not None
+        if not self.pool.dispatcher.may_write(self.attempt.pending):
+            if self.attempt is not None:  # not withdrawn with its request
+                self.attempt.give_up(i.Verdict.NOT_SENT)
             return
         self.status, self.outcome, self.size, self.written = None, None, 0, False
         self.line.clear()
         self.begun = True
-        self.transport.write(self.try_.request())
+        self.transport.write(self.attempt.request())
         # A write that fails at once leaves the buffer empty too, but nothing of it was sent: the transport
         # is closing then.
         if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
@@ -228,12 +229,12 @@
         self.written = True
 
     def received(self, data: bytes) -> None:
-        if self.try_ is None:  # nothing was asked for, or the try is given up
+        if self.attempt is None:  # nothing was asked for, or the attempt is given up
             self.drop()
             return
         try:
             for part in self.parser.feed(data):
-                if self.try_ is None:  # given up by what the part before it led to
+                if self.attempt is None:  # given up by what the part before it led to
                     return
                 if isinstance(part, http.Head):
                     self.status = part
@@ -247,10 +248,10 @@
             self._end(verdict, result)
             self.drop()
             return
-        if self.outcome is not None and self.try_ is not None and not self.try_.over:
+        if self.outcome is not None and self.attempt is not None and not self.attempt.over:
             # The last line is in and the end of the framing is not: the answer does not wait for it.
-            self.timer = self.peers.loop.call_later(LINGER, self.drop)
-            self.try_.end(*self.outcome)
+            self.timer = self.pool.loop.call_later(LINGER, self.drop)
+            self.attempt.end(*self.outcome)
 
     def _body(self, piece: bytes) -> None:
         self.size += len(piece)
@@ -268,10 +269,10 @@
             raise ValueError("job event too long")
 
     def _event(self, line: bytes) -> None:
-        """A job event: what it says of the try. A last one is kept until the framing has been looked at, so
+        """A job event: what it says of the attempt. A last one is kept until the framing is looked at, so
         that the connection is in the pool by the time the Balancer counts on it."""
-        try_ = self.try_
-        if try_ is None:
+        attempt = self.attempt
+        if attempt is None:
             return
         if self.outcome is not None:
             raise ValueError("job event after the last one")
@@ -279,13 +280,13 @@
             event = JOB_EVENT.decode(line)
         except msgspec.MsgspecError as error:
             raise ValueError(f"not a job event: {error}") from error
-        if event.id != try_.context.id:
-            raise ValueError("job event that is not about this try")
-        state, try_.free = event.state, read_load(event.load, self.peers.free_slots)
+        if event.id != attempt.pending.id:
+            raise ValueError("job event that is not about this attempt")
+        state, attempt.free = event.state, read_load(event.load, self.pool.free_slots)
         if state == "started":
-            self.peers.dispatcher.started(try_.context.id, try_.number)
+            self.pool.dispatcher.started(attempt.pending.id, attempt.number)
         elif state == "running":
-            self.peers.dispatcher.progress(try_.context.id, try_.number, read_share(event.share))
+            self.pool.dispatcher.progress(attempt.pending.id, attempt.number, read_share(event.share))
         elif state == "done":
             result = event.result
             if result is None:
@@ -301,7 +302,7 @@
         assert self.status is not None
         if self.status.status == 200 and self.line.strip():
             self._event(bytes(self.line))  # a last line without its end
-            if self.try_ is None:  # given up by what the line led to
+            if self.attempt is None:  # given up by what the line led to
                 return
         if self.outcome is not None:
             verdict, result = self.outcome
@@ -310,44 +311,44 @@
         elif self.status.status in (503, 504) and self.status.headers.get("srv-declined") == "1":
             verdict, result = i.Verdict.FULL, b""
         elif 400 <= self.status.status < 500 and self.status.status not in (408, 429):
-            verdict, result = i.Verdict.UNUSABLE, b""  # the request's fault, not the peer's
+            verdict, result = i.Verdict.UNUSABLE, b""  # the request's fault, not the worker's
         else:
             verdict, result = i.Verdict.ERROR, b""
-        try_, self.try_ = self.try_, None
-        if try_ is not None and self.status.status != 200:
-            try_.free = self.peers.free_told(self.status)
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None and self.status.status != 200:
+            attempt.free = self.pool.free_told(self.status)
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
         if keep and self.parser.between and self.written:
             # Its lines name the request that they are about, but one handed back may come here once more.
             if self.status.status == 200 and verdict is not i.Verdict.FULL:
-                self.peers.idle(self)
+                self.pool.idle(self)
             else:
-                self.timer = self.peers.loop.call_later(DOUBT, self._rested)
+                self.timer = self.pool.loop.call_later(DOUBT, self._rested)
         else:
             self.drop()
-        if try_ is not None:
-            try_.connection = None
-            try_.end(verdict, result)
+        if attempt is not None:
+            attempt.connection = None
+            attempt.end(verdict, result)
 
     def _rested(self) -> None:
         self.timer = None
         if not self.closed:
-            self.peers.idle(self)
+            self.pool.idle(self)
 
     def _end(self, verdict: i.Verdict, result: bytes = b"") -> None:
-        """The connection can't carry its try any further."""
-        try_, self.try_ = self.try_, None
-        if try_ is not None:
-            try_.connection = None
-            try_.end(verdict, result)
+        """The connection can't carry its attempt any further."""
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            attempt.connection = None
+            attempt.end(verdict, result)
 
     # Closing.
 
     def drop(self) -> None:
         """Close it now. An unwritten rest must not be sent, so it is aborted, not closed."""
-        self.try_ = None
+        self.attempt = None
         if self.transport is None:
             self._give_up_opening()
             return
@@ -355,8 +356,8 @@
         self.abort()
 
     def eof_received(self) -> bool:
-        """The peer has ended: a response without a length is whole, any other is broken off."""
-        end = self.parser.eof() if self.try_ is not None else None
+        """The worker has ended: a response without a length is whole, any other is broken off."""
+        end = self.parser.eof() if self.attempt is not None else None
         if end is not None:
             try:
                 self._whole(end.keep)
@@ -370,12 +371,12 @@
         self.closed, self.sock = True, None
         if self.timer is not None:
             self.timer.cancel()
-        self.peers.forget(self)
+        self.pool.forget(self)
         self._end(i.Verdict.RESET if self.written else i.Verdict.CONNECT_FAILED)
 
 
-class Peers:
-    """All peers: starts and gives up tries, keeps idle connections."""
+class WorkerConnections:
+    """All workers: starts and gives up attempts, keeps idle connections."""
 
     dispatcher: Dispatcher  # set once, when both exist
 
@@ -390,10 +391,10 @@
         self.loop, self.sockets, self.connect_timeout = loop, sockets, connect_timeout
         self.free_slots = free_slots  # the field of load reports that tells them; empty: none does
         self.keep = idle_close * TRUST
-        self.peers: dict[str, _Peer] = {}
-        self.tries: dict[tuple[str, int], _Try] = {}
-        self.connections: set[PeerConnection] = set()
-        self.idle_order: OrderedDict[PeerConnection, None] = OrderedDict()  # longest idle first
+        self.endpoints: dict[str, WorkerEndpoint] = {}
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.connections: set[WorkerConnection] = set()
+        self.idle_order: OrderedDict[WorkerConnection, None] = OrderedDict()  # longest idle first
         self.opened = 0
         self._sweeper = loop.call_later(SWEEP, self._sweep)
         sockets.sides.append(self)
@@ -406,107 +407,107 @@
         except (msgspec.MsgspecError, UnicodeError, RecursionError):
             return None
 
-    def place(self, worker: str, endpoint: str, since: float | None) -> None:
-        """Discovery says where a peer listens, and since when. What idled there before is of no more use."""
-        peer = self.peers.get(worker)
-        if peer is None or (peer.endpoint, peer.since) != (endpoint, since):
-            self.peers[worker] = _Peer(
-                endpoint, since
+    def place(self, worker: str, address: str, since: float | None) -> None:
+        """Discovery says where a worker listens, and since when. What idled there before is of no use."""
+        endpoint = self.endpoints.get(worker)
+        if endpoint is None or (endpoint.address, endpoint.since) != (address, since):
+            self.endpoints[worker] = WorkerEndpoint(
+                address, since
             )  # first, since what is withdrawn may be sent anew at once
-            self._leave(peer)
+            self._leave(endpoint)
 
     def remove(self, worker: str) -> None:
-        """A peer is gone from the list; tries that are out there go on, those that are not written don't."""
-        self._leave(self.peers.pop(worker, None))
+        """A worker is gone from the list; attempts that run there go on, those that are not written don't."""
+        self._leave(self.endpoints.pop(worker, None))
 
-    def _leave(self, peer: _Peer | None) -> None:
-        if peer is not None:
-            peer.listed = False
-            self._close_idle(peer)
-            self._withdraw_from(peer)
+    def _leave(self, endpoint: WorkerEndpoint | None) -> None:
+        if endpoint is not None:
+            endpoint.listed = False
+            self._close_idle(endpoint)
+            self._withdraw_from(endpoint)
 
     def withdraw_from(self, worker: str) -> None:
-        """A peer wants nothing new: tries that wait for a connection to it were decided before that was told,
-        and would be written after it, by as much as the connection takes to open."""
-        if worker in self.peers:
-            self._withdraw_from(self.peers[worker])
+        """A worker wants nothing new: attempts that wait for a connection to it were decided before that
+        was told, and would be written after it, by as much as the connection takes to open."""
+        if worker in self.endpoints:
+            self._withdraw_from(self.endpoints[worker])
 
-    def _withdraw_from(self, peer: _Peer) -> None:
-        for try_ in [t for t in self.tries.values() if t.opening and t.opening.peer is peer]:
-            try_.give_up(i.Verdict.MOOT)
+    def _withdraw_from(self, endpoint: WorkerEndpoint) -> None:
+        for attempt in [t for t in self.attempts.values() if t.opening and t.opening.endpoint is endpoint]:
+            attempt.give_up(i.Verdict.NOT_SENT)
 
     def withdraw(self, request: str, number: int) -> None:
-        """The request is over: a try that is not written yet never will be."""
-        try_ = self.tries.get((request, number))
-        if try_ is not None and try_.opening:
-            try_.give_up(i.Verdict.MOOT)
-
-    def start(self, context: RequestContext, number: int, worker: str, until: float) -> None:
-        """Start a try on the connection that idled last, or on a new one."""
-        try_ = _Try(self, context, number, until)
-        self.tries[context.id, number] = try_
-        peer = self.peers.get(worker)
-        if peer is None:  # it left the list a moment ago
-            try_.end(i.Verdict.CONNECT_FAILED)
+        """The request is over: an attempt that is not written yet never will be."""
+        attempt = self.attempts.get((request, number))
+        if attempt is not None and attempt.opening:
+            attempt.give_up(i.Verdict.NOT_SENT)
+
+    def start(self, pending: PendingRequest, number: int, worker: str, until: float) -> None:
+        """Start an attempt on the connection that idled last, or on a new one."""
+        attempt = Attempt(self, pending, number, until)
+        self.attempts[pending.id, number] = attempt
+        endpoint = self.endpoints.get(worker)
+        if endpoint is None:  # it left the list a moment ago
+            attempt.end(i.Verdict.CONNECT_FAILED)
             return
-        while peer.idle:
-            connection = peer.idle.pop()
+        while endpoint.idle:
+            connection = endpoint.idle.pop()
             del self.idle_order[connection]
             # After a stall of this process the sweep is as late as this: so the age is looked at here too.
-            # And the peer's end may lie unread: a job written after it would be lost, as perhaps run.
+            # And the worker's end may lie unread: a job written after it would be lost, as perhaps run.
             if connection.idle_since > self.loop.time() - self.keep and connection.quiet():
-                try_.connection = connection
-                connection.carry(try_)
+                attempt.connection = connection
+                connection.carry(attempt)
                 return
             connection.drop()
-        if self.sockets.peers_left(self) <= 0 and not self.close_one_idle():
+        if self.sockets.left_for_workers(self) <= 0 and not self.close_one_idle():
             any(other.close_one_idle() for other in self.sockets.sides)
-        if self.sockets.peers_left(self) <= 0:
-            try_.end(i.Verdict.CONNECT_FAILED)  # no descriptor left: true, it never ran
+        if self.sockets.left_for_workers(self) <= 0:
+            attempt.end(i.Verdict.CONNECT_FAILED)  # no descriptor left: true, it never ran
             return
-        try_.connection = connection = PeerConnection(self, peer, try_)
+        attempt.connection = connection = WorkerConnection(self, endpoint, attempt)
         self.connections.add(connection)
         connection.open()
 
     def hurry(self, until: float, request: str | None = None) -> None:
-        """No try (of that request) is waited for any longer than that."""
-        for try_ in self.tries.values():
-            if request is None or try_.context.id == request:
-                try_.hurry(until)
+        """No attempt (of that request) is waited for any longer than that."""
+        for attempt in self.attempts.values():
+            if request is None or attempt.pending.id == request:
+                attempt.hurry(until)
 
     def cancel(self, request: str, number: int) -> None:
-        """Give a try up."""
-        if try_ := self.tries.get((request, number)):
-            try_.give_up(i.Verdict.CANCELLED)
+        """Give an attempt up."""
+        if attempt := self.attempts.get((request, number)):
+            attempt.give_up(i.Verdict.CANCELLED)
 
     def close_idle(self, worker: str) -> None:
-        """Close the idle connections to a peer."""
-        if worker in self.peers:
-            self._close_idle(self.peers[worker])
+        """Close the idle connections to a worker."""
+        if worker in self.endpoints:
+            self._close_idle(self.endpoints[worker])
 
-    def _close_idle(self, peer: _Peer) -> None:
-        for connection in list(peer.idle):
+    def _close_idle(self, endpoint: WorkerEndpoint) -> None:
+        for connection in list(endpoint.idle):
             self._unpool(connection)
             connection.drop()
 
-    def idle(self, connection: PeerConnection) -> None:
-        """A connection has carried its try to the end and waits for another."""
-        if not connection.peer.listed:  # it would wait in vain
+    def idle(self, connection: WorkerConnection) -> None:
+        """A connection has carried its attempt to the end and waits for another."""
+        if not connection.endpoint.listed:  # it would wait in vain
             connection.drop()
             return
         connection.idle_since = self.loop.time()
-        connection.peer.idle.append(connection)
+        connection.endpoint.idle.append(connection)
         self.idle_order[connection] = None
 
-    def forget(self, connection: PeerConnection) -> None:
+    def forget(self, connection: WorkerConnection) -> None:
         """A connection is closed."""
         self.connections.discard(connection)
         self._unpool(connection)
 
-    def _unpool(self, connection: PeerConnection) -> None:
+    def _unpool(self, connection: WorkerConnection) -> None:
         if connection in self.idle_order:
             del self.idle_order[connection]
-            connection.peer.idle.remove(connection)
+            connection.endpoint.idle.remove(connection)
 
     def close_one_idle(self) -> bool:
         """Close the connection that idled longest; whether there was one."""
@@ -519,7 +520,7 @@
         return True
 
     def _sweep(self) -> None:
-        """Close what has idled so long that the peer may close it while a job is on its way."""
+        """Close what has idled so long that the worker may close it while a job is on its way."""
         self._sweeper = self.loop.call_later(SWEEP, self._sweep)
         limit = self.loop.time() - self.keep
         while self.idle_order and (oldest := next(iter(self.idle_order))).idle_since <= limit:
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -156,9 +156,9 @@
 
     def switch(self, new: Config) -> None:
         """Take over what a new configuration may change: where discovery is, and the limits. The list, the
-        requests, the tries and all that was learned stay, and the clock that restarts are told by."""
+        requests, the attempts and all that was learned stay, and the clock that restarts are told by."""
         old = self.config
-        # What a peer's connection or a request in hand was built on holds until the next start.
+        # What a worker's connection or a request in hand was built on holds until the next start.
         kept = replace(new, name=old.name, listen=old.listen, seed=old.seed, settings=old.settings)
         if (new.name, new.listen, new.settings) != (old.name, old.listen, old.settings):
             log.warning("reload.partly", not_taken="name, listen or settings", until="the next start")
