--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,10 +17,10 @@
 from scenario import FACTS, MESSAGES, MS, PATIENCE, Scene, job
 
 from wickgw.facts import read_settings
-from wickgw.net import clients, discovery, http, watch_timing, worker_connections
+from wickgw.net import clients, discovery, http, watch_timing, worker_connection
 from wickgw.net.sockets import Connection
 from wickgw.net.watch_timing import WatchTiming
-from wickgw.net.worker_connections import WorkerConnection
+from wickgw.net.worker_connection import WorkerConnection
 
 PUSHED: dict[str, Any] = {"discovery": "push", "siblings": 200}
 SLOW_TO_OPEN: dict[str, Any] = {"bounds": FACTS["bounds"] | {"connect-timeout-ns": 10_000 * MS}}
@@ -306,7 +306,7 @@
 ) -> None:
     """The first job is turned away, and some milliseconds later once more. A never-twice job that is written
     on that connection in between would count as never run and go elsewhere, while it runs."""
-    monkeypatch.setattr(worker_connections, "DOUBT", PATIENCE)
+    monkeypatch.setattr(worker_connection, "REST_S", PATIENCE)
     played(
         """
         d send list 5 whole w0
@@ -333,7 +333,7 @@
 ) -> None:
     """Both workers hand a never-twice job back; tried at the first again by the same connection, its first
     line come twice would say that it never ran while it runs."""
-    monkeypatch.setattr(worker_connections, "DOUBT", PATIENCE)
+    monkeypatch.setattr(worker_connection, "REST_S", PATIENCE)
     played(
         """
         d send list 5 whole w0 w1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,9 +12,9 @@
 from scenario import Scene
 
 from wickgw.net import clients, discovery, watch_timing
+from wickgw.net.attempt import Job
 from wickgw.net.dispatch import Answer, AnswerKind, PendingRequest
 from wickgw.net.sockets import BASE_MB, RESERVE, Connection, Sockets
-from wickgw.net.worker_connections import Job
 
 SCENES: dict[str, str] = {
     # A request's life.
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -19,10 +19,10 @@
 
 from wickgw import interface as i
 from wickgw.net import http
+from wickgw.net.attempt import Job
 from wickgw.net.dispatch import Answer, AnswerKind, PendingRequest
 from wickgw.net.pools import NoRoute, Pools
 from wickgw.net.sockets import Connection, Sockets
-from wickgw.net.worker_connections import Job
 from wickgw.observe import logger
 
 log = logger("wickgw")
