--- a/benchmarks/capacity_measures.py
+++ b/benchmarks/capacity_measures.py
@@ -187,7 +187,7 @@
 
 def progress_notes(running: str) -> object:
     """Notes of running jobs: bytes of one, and microseconds to decode it and tell the decisions."""
-    from wickgw.net.peers import JOB_EVENT
+    from wickgw.net.job_events import read_event
 
     count = int(running)
     balancer = Balancer(settings_of(1), 1)
@@ -199,7 +199,7 @@
     lines = [b'{"id":"j%d","from":"s-0badcafe","state":"running","share":0.4}\n' % n for n in range(count)]
     began = time.process_time()
     for n, line in enumerate(lines):
-        JOB_EVENT.decode(line)
+        read_event(line, f"j{n}")
         balancer.handle(i.Progress(f"j{n}", 0, 0.4), 0.001 * count + 1)
     took = time.process_time() - began
     return {"bytes": len(lines[-1]) + 6, "note_us": 1e6 * took / count}
--- a/tests/test_subsetting_serve.py
+++ b/tests/test_subsetting_serve.py
@@ -16,7 +16,7 @@
 from wickgw.config.ini import read_ini
 from wickgw.config.relay import ConfigError
 from wickgw.emulator.worker import Worker
-from wickgw.net.pools import PoolServer
+from wickgw.net.pool_server import PoolServer
 
 COUNT, FLEET = 300, 60
 DISPATCHERS = " ".join(f"n{n}={'east' if n % 2 else 'west'}" for n in range(FLEET))
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -21,7 +21,7 @@
 from wickgw.net import http
 from wickgw.net.attempt import Job
 from wickgw.net.dispatch import Answer, AnswerKind, PendingRequest
-from wickgw.net.pools import NoRoute, Pools
+from wickgw.net.pools import NoRouteError, Pools
 from wickgw.net.sockets import Connection, Sockets
 from wickgw.observe import logger
 
@@ -441,7 +441,7 @@
             return
         try:
             choice = self.pools.choose(request)
-        except NoRoute as none:
+        except NoRouteError as none:
             connection.reject(400 if none.malformed else 404, str(none))
             return
         cls, longest = self.classes.get(choice.job_class, (-1, 0.0))
--- a/wickgw/net/pools.py
+++ b/wickgw/net/pools.py
@@ -7,138 +7,29 @@
 """
 
 import asyncio
-import zlib
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from urllib.parse import unquote
 
 from wickgw import interface as i
-from wickgw.balance import Balancer
-from wickgw.config.relay import Config, ConfigError
+from wickgw.config.relay import Config
 from wickgw.net import http
-from wickgw.net.dispatch import Clock, Dispatcher, PendingRequest
+from wickgw.net.dispatch import Clock, PendingRequest
+from wickgw.net.pool_server import PoolServer
 from wickgw.net.sockets import Sockets
-from wickgw.net.worker_connections import WorkerConnections
 from wickgw.net.worker_list import Target
 from wickgw.observe import logger
 
 if TYPE_CHECKING:
     from wickgw.config.schema import SubsettingSettings
-    from wickgw.net.subset_driver import SubsetDriver
     from wickgw.routing.match import Request
     from wickgw.routing.table import Pool, Route, Table, Worker
-    from wickgw.subsetting.subset import WorkerSubset
 
 log = logger("wickgw.routing")
 RETIRING = 0.5  # seconds between looks at whether a retired pool has ended its last request
 
 
-class PoolServer:
-    """One pool: who decides for it, and what it holds."""
-
-    def __init__(
-        self,
-        name: str,
-        has: Callable[[Target], bool],
-        config: Config,
-        loop: asyncio.AbstractEventLoop,
-        clock: Clock,
-        sockets: Sockets,
-        subsetting: "SubsettingSettings | None" = None,
-    ) -> None:
-        self.name, self.has = name, has
-        settings = config.settings
-        self.subset: SubsetDriver | None = None
-        core = subset_of(config, subsetting)
-        if core is not None:
-            from wickgw.net import subset_driver
-            from wickgw.subsetting import sizing
-
-            settings = sizing.settings_for_subset(settings, core.size.memberships)
-            self.subset = subset_driver.SubsetDriver(core, loop, clock, self._show)
-        self.connections = WorkerConnections(
-            loop, sockets, settings.connect_timeout, settings.idle_close, settings.free_slots
-        )
-        balancer = Balancer(settings, config.seed + zlib.crc32(name.encode()))  # 0 for the one without a name
-        self.dispatcher = self.connections.dispatcher = Dispatcher(balancer, loop, clock, self.connections)
-        if self.subset is not None:
-            self.dispatcher.on_attempt_ended = self.subset.attempt_ended
-        self.states: dict[str, i.Health] = {}  # of its workers
-
-    def begin(self, known: list[Target]) -> None:
-        """Its life begins, with the list as it was held last."""
-        mine = [target for target in known if self.has(target)]
-        if self.subset is not None:
-            self.dispatcher.begin(())
-            self.subset.told(i.ListKind.REPLACE, mine)
-            return
-        for target in mine:
-            self.connections.place(target.entry.worker, target.endpoint, target.entry.since)
-            self.states[target.entry.worker] = target.entry.health
-        self.dispatcher.begin(tuple(target.entry for target in mine))
-
-    def told(self, kind: i.ListKind, targets: list[Target]) -> None:
-        """News of the list."""
-        if self.subset is None:
-            self._show(kind, targets)
-        else:
-            mine = [t for t in targets if self.has(t) or self.subset.knows(t.entry.worker)]
-            self.subset.told(kind, [t if self.has(t) else _gone(t) for t in mine])
-
-    def _show(self, kind: i.ListKind, targets: list[Target]) -> None:
-        """What the pool serves by: addresses first, since the Balancer may send at once; what left goes
-        last."""
-        entries, gone = [], set()
-        for target in targets:
-            entry, worker, mine = target.entry, target.entry.worker, self.has(target)
-            if mine and entry.health is not i.Health.GONE:
-                self.connections.place(worker, target.endpoint, entry.since)
-                entries.append(entry)
-            elif mine or worker in self.states:  # gone from the list, or from this pool
-                gone.add(worker)
-                if kind is not i.ListKind.REPLACE:
-                    entries.append(i.Entry(worker, i.Health.GONE, entry.zone, entry.cell, entry.since))
-        if kind is i.ListKind.REPLACE:
-            gone |= self.states.keys() - {entry.worker for entry in entries}
-            self.states = {}
-        self.states |= {entry.worker: entry.health for entry in entries}
-        for worker in gone:
-            self.states.pop(worker, None)
-        if entries or kind is i.ListKind.REPLACE:
-            self.dispatcher.listed(kind, tuple(entries))
-        for entry in entries:
-            if entry.health is i.Health.DRAINING:
-                self.connections.withdraw_from(entry.worker)
-        for worker in gone:
-            self.connections.remove(worker)
-
-    @property
-    def counts(self) -> tuple[int, int]:
-        """Its ready and its draining workers."""
-        states = list(self.states.values())
-        return states.count(i.Health.READY), states.count(i.Health.DRAINING)
-
-    def report(self) -> dict[str, object]:
-        """Counters, and what it holds now."""
-        ready, draining = self.counts
-        held = {"owed": self.dispatcher.owed, "ready": ready, "draining": draining}
-        held |= {
-            "tries_out": len(self.connections.attempts),
-            "peer_connections": len(self.connections.connections),
-        }
-        held |= self.subset.counts if self.subset is not None else {}
-        return {"counters": dict(self.dispatcher.counters), "now": held}
-
-    def close(self) -> None:
-        """Give everything back."""
-        if self.subset is not None:
-            self.subset.close()
-        self.dispatcher.close()
-        self.connections.close()
-
-
 @dataclass(frozen=True, slots=True)
 class Choice:
     """Where a request goes, and what its route makes less of."""
@@ -149,7 +40,7 @@
     time_limit: float = float("inf")
 
 
-class NoRoute(Exception):
+class NoRouteError(Exception):
     """No route takes it; or it has no normal form (`malformed`)."""
 
     def __init__(self, why: str, malformed: bool = False) -> None:
@@ -209,7 +100,7 @@
         for server in self.all:
             server.begin(known)
 
-    def told(self, kind: i.ListKind, targets: list[Target]) -> None:
+    def on_update(self, kind: i.ListKind, targets: list[Target]) -> None:
         """News of the list, to every pool at once."""
         if kind is i.ListKind.REPLACE:
             self.list = {}
@@ -219,12 +110,12 @@
             else:
                 self.list[target.entry.worker] = target
         for server in self.all:
-            server.told(kind, targets)
+            server.on_update(kind, targets)
 
     # Requests.
 
     def choose(self, request: http.Request) -> Choice:
-        """The pool of a request. Raises NoRoute."""
+        """The pool of a request. Raises NoRouteError."""
         if self.table is None:
             return Choice(self.servers[""], unquote(request.path[1:].partition("/")[0]))
         asked = self.normal(request)
@@ -232,7 +123,7 @@
         route = taken.route
         if route is None:
             self.counters["routes.none"] += 1
-            raise NoRoute("no route takes this")
+            raise NoRouteError("no route takes this")
         if taken.tied:
             self._tied(taken.tied, asked)
         name, out = self.table.pool_for(route, _Counts(self.servers))
@@ -243,7 +134,7 @@
         return Choice(self.servers[name], unquote(asked.job_class), route.attempts, limit)
 
     def normal(self, request: http.Request) -> "Request":
-        """A request as routing sees it. Raises NoRoute if it has no normal form."""
+        """A request as routing sees it. Raises NoRouteError if it has no normal form."""
         from wickgw.routing import normal
         from wickgw.routing.match import Request
 
@@ -252,7 +143,7 @@
         try:
             host, path = normal.host(request.headers.get("host", "")), normal.path(request.path)
         except normal.Malformed as error:
-            raise NoRoute(str(error), malformed=True) from error
+            raise NoRouteError(str(error), malformed=True) from error
         return Request(host, path, request.method, zone if zone in known else self.zone, request.headers)
 
     def _tied(self, routes: "tuple[Route, ...]", asked: "Request") -> None:
@@ -357,31 +248,6 @@
         return self.servers[name].counts
 
 
-def subset_of(config: Config, subsetting: "SubsettingSettings | None") -> "WorkerSubset[Target] | None":
-    """The subset that the operator's file asks for; None where every worker is seen. Raises ConfigError."""
-    if subsetting is None or not subsetting.enabled:
-        return None
-    from wickgw.subsetting.ranking import Dispatcher as Instance
-    from wickgw.subsetting.sizing import subset_size
-    from wickgw.subsetting.subset import WorkerSubset
-
-    if config.name not in subsetting.dispatchers:
-        raise ConfigError(
-            f"[subsetting] dispatchers: {config.name!r}, this dispatcher's name, is missing;"
-            f" NAME=ZONE for each of all dispatchers is allowed"
-        )
-    fleet = tuple(Instance(name, zone) for name, zone in subsetting.dispatchers.items())
-    zones, whole = len(set(subsetting.dispatchers.values())), subsetting.largest_whole_view
-    size = subset_size(len(fleet), subsetting.workers, zones, whole)
-    return WorkerSubset(fleet, config.name, size, config.settings) if size is not None else None
-
-
-def _gone(target: Target) -> Target:
-    """A worker that is no pool member any more, as one that is gone."""
-    e = target.entry
-    return target._replace(entry=i.Entry(e.worker, i.Health.GONE, e.zone, e.cell, e.since, e.kind))
-
-
 def worker_of(target: Target) -> "Worker":
     """A target as a pool's choice sees it."""
     from wickgw.routing.table import Worker
--- a/wickgw/net/subset_driver.py
+++ b/wickgw/net/subset_driver.py
@@ -33,7 +33,7 @@
         self.subset, self.loop, self.clock, self.show = subset, loop, clock, show
         self._timer: asyncio.TimerHandle | None = None
 
-    def told(self, kind: i.ListKind, targets: list[Target]) -> None:
+    def on_update(self, kind: i.ListKind, targets: list[Target]) -> None:
         """News of the whole list."""
         self._feed(FleetListed(kind, tuple(targets)))
 
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -135,7 +135,7 @@
             held = {t.entry.worker: t for t in (*known, *targets)}
             kind = i.ListKind.REPLACE
             targets = [t for t in held.values() if t.entry.health is not i.Health.GONE]
-        self.pools.told(kind, targets)
+        self.pools.on_update(kind, targets)
         self.clients.ready = True
 
     def _on_unavailable(self) -> None:
