--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -14,7 +14,7 @@
 from numpy.typing import NDArray
 
 from wickgw import interface as i
-from wickgw.books import NOBODY, Attempt, Bucket, Held, Index, Line, Paces, Request, Worker
+from wickgw.books import NOBODY, Attempt, Bucket, Held, Index, Line, Paces, Request, Worker, ZoneWaits
 from wickgw.matrices import AT_ONCE, Matrices, Once, Solve
 from wickgw.validate import check
 
@@ -60,6 +60,7 @@
         self.keep = settings.idle_close  # seconds for which an unused connection is trusted
         self.spacing = max(0.0, settings.dispatchers / QUEUE - 1)
         self.wait = 0.0  # seconds from a send to its start, averaged
+        self.zone_waits = ZoneWaits(settings.zone)
         self.last_tick = self.solved = -math.inf  # solved: when q was last solved for
         self.kept = 0.0  # of a worker little known, by a job that begins at once
         self.requests: dict[str, Request] = {}  # unanswered ones
@@ -138,6 +139,7 @@
         unused = w.idle[-1] if w.idle else -math.inf
         toll *= 1 + max(0.0, 1 + w.load - w.slots)  # by its load report our next job would wait there
         self.index.enter(w.row, free_at, open_at, rests, w.q * (1 + w.load) * toll, unused, w.slots - w.load)
+        self.index.away[w.row] = w.zone != self.set.zone
 
     def _add(self, entry: i.Entry, now: float) -> None:
         warm_at = -math.inf if entry.since is None else entry.since + self.set.warm_after
@@ -234,17 +236,15 @@
             quick = free[self.paces.lags(free) <= math.log((1 + r.kind.stretch) / 2)]
             free = quick if len(quick) > len(free) * FEW else free
         if self.random.random() < EXPLORE:
-            some: list[int] = free.tolist()
-            return self.rows[self.random.choice(some)]
+            return self.rows[int(self.random.choice(free))]
         if now >= self.solved + MEMORY / 20 and self.solving is None:
             self._solve(now)
         fresh, dear = now - self.keep, 1 + TOLL * self.set.handshake_fee  # to open a connection
-        costs = self.index.costs[free]
-        if dear > 1:
-            costs = np.where(self.index.unused[free] > fresh, costs, costs * dear)
+        costs = self.index.costs[free] * np.where(self.index.unused[free] > fresh, 1.0, dear)
+        if self.zone_waits.home_is_full:  # a price of going elsewhere is no reason to wait at home
+            costs = np.where(self.index.away[free], costs / (1 + TOLL * self.set.crossing_fee), costs)
         # Ties by own randomness: by the list's order all dispatchers would act in step.
-        least: list[int] = free[costs == costs.min()].tolist()
-        return self.rows[self.random.choice(least)]
+        return self.rows[int(self.random.choice(free[costs == costs.min()]))]
 
     def _send(self, r: Request, worker: Worker, now: float) -> None:
         attempt = Attempt(worker, r.slots, now, now, None if self.set.tells_start else now)
@@ -287,6 +287,7 @@
             # After a wait leave it to the others: when all are full, all of us keep about QUEUE jobs there.
             attempt.worker.crowd_until = now + wait * self.spacing * min(1.0, self.wait / self.aim) ** 2
             self.wait += 0.05 * (wait - self.wait)
+            self.zone_waits.observe(r is None or wait > r.slack(self.run[r.cls]), attempt.worker.zone)
             self._changed(attempt.worker)
             if attempt.unused > self.keep / 2:
                 self.keep = min(1.1 * self.keep, self.set.idle_close)
--- a/wickgw/books.py
+++ b/wickgw/books.py
@@ -105,6 +105,10 @@
     late: bool = False  # too late for the full worth, held for the worth of a late answer
     ticket: int = -1  # its place among the held; -1: not held
 
+    def slack(self, run: float) -> float:
+        """Seconds that it may wait at a worker and still end within its class's aim, if it runs so long."""
+        return self.kind.aim + (self.kind.stretch - 1) * run
+
     @property
     def begun(self) -> int:
         """Attempts that began to run."""
@@ -238,6 +242,35 @@
         return math.log(whole) - self.lag(row)
 
 
+class ZoneWaits:
+    """Shares of jobs that began too late for their class's aim, in the own zone and in the others.
+
+    Shares and no means: what counts is how many of the jobs wait too long, not for how long.
+    """
+
+    GAIN = 0.1  # weight of a new observation
+    FADE = 0.02  # share that is forgotten of the other side meanwhile: a zone left alone is tried again
+    MAJORITY = 0.5
+
+    def __init__(self, home: int) -> None:
+        self.home_zone = home
+        self.home = self.away = 0.0
+
+    def observe(self, late: bool, zone: int) -> None:
+        """A job has begun in that zone, too late to end within its class's aim or in time."""
+        if zone == self.home_zone:
+            self.home += self.GAIN * (late - self.home)
+            self.away -= self.FADE * self.away
+        else:
+            self.away += self.GAIN * (late - self.away)
+            self.home -= self.FADE * self.home
+
+    @property
+    def home_is_full(self) -> bool:
+        """Whether most jobs wait too long at home that would not elsewhere."""
+        return self.home - self.away > self.MAJORITY
+
+
 class Bucket:
     """What comes within a rate, of which a second's worth may come at once."""
 
@@ -261,6 +294,7 @@
         self.rests = none  # until when it rests; never over for one that is not ready
         self.costs = none
         self.unused = none  # since when its newest idle connection has been unused
+        self.away = np.zeros(0, np.bool_)  # whether it is in another zone than we are
         self.vacant = none  # slots that are free by its load report; infinite: it gives none
         self._nobody_until = -math.inf  # nobody is free before, as long as nothing is entered
 
@@ -269,6 +303,7 @@
         self.free_at, self.open_at = np.append(self.free_at, none), np.append(self.open_at, none)
         self.rests, self.costs = np.append(self.rests, none), np.append(self.costs, none)
         self.unused, self.vacant = np.append(self.unused, none), np.append(self.vacant, none)
+        self.away = np.append(self.away, np.zeros(len(none), np.bool_))
 
     def enter(
         self,
