--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -35,7 +35,6 @@
 PIECE = 0.004  # seconds between pieces
 PASSED = 100  # times in a row that room may go past a held request to other kinds; the next is its own
 LOOKS = 8  # held requests of one kind that are looked at for a worker they may go to
-FEW = 0.1  # of the free workers: where fewer are quick, what is usual is misjudged and they would get all
 COPIES, SILENT = 2, 2.5  # of a job not begun; intervals of notes without one
 SLACK = 0.008  # seconds before its time is up at which a held request is answered
 NEVER_RAN = (i.Verdict.FULL, i.Verdict.CONNECT_FAILED, i.Verdict.NOT_SENT)
@@ -102,8 +101,9 @@
     def _solve(self, now: float) -> None:
         """q from the matrices. A worker little known counts as all do: thought idle, it would draw us all."""
         self.solved = now
-        run = sum(self.run) / len(self.run)  # where jobs run long, the data of many ticks tells of few ends
-        self.matrices.prior = (1 + self.spacing) * max(SIGMA0, ENDS * run / self.tick)
+        run = sum(self.run) / len(self.run)  # where it is long, the data of many ticks tells of few ends
+        ends = ENDS * run / self.tick * min(1.0, 2 * run / MEMORY)
+        self.matrices.prior = (1 + self.spacing) * max(SIGMA0, ends)
         self.kept = self.matrices.pooled(math.exp(-self.tick / run))
         self.solving = self.matrices.begin(self.kept), list(self.rows)
         self._go_on()
@@ -232,9 +232,9 @@
             if not pool:
                 return None
             free = np.array([w.row for w in pool])
-        if r.kind.stretch > 1:  # what runs too long for its kind elsewhere goes to the quick, unless few are
+        if r.kind.stretch > 1:  # too long a run elsewhere: to the quick; if few seem so, "usual" is misjudged
             quick = free[self.paces.lags(free) <= math.log((1 + r.kind.stretch) / 2)]
-            free = quick if len(quick) > len(free) * FEW else free
+            free = quick if 10 * len(quick) > len(free) else free
         if self.random.random() < EXPLORE:
             return self.rows[int(self.random.choice(free))]
         if now >= self.solved + MEMORY / 20 and self.solving is None:
