Learned state covers a bounded number of workers, whatever the length of the list

What callers saw: connections ended with no answer, since the process was killed over its memory limit half a second after its first list.

Cause: matrices.Matrices.add gave every listed worker a row and a column of two dense matrices and doubled them when they ran out, old and new both alive: 4,096 rows for 3,200 workers, 268 MB; Matrices.drop wrote a column of each; the solve copied the system again; books.Paces.enter copied its arrays for each new row. Class: state and work that grow with what is outside of the process (the list) and not with what it does (its traffic).

At most 256 workers, the members, have learned state; up to 512 while none of them is free, back to 256 when those were unused for 20 s. Any other ready worker costs its entry. Members are drawn at random, half of them from the own zone where crossing costs; one that leaves or drains is succeeded in the same call, 64 a call. A repeat bound to its cell or zone makes workers of it members. Fleets of up to 256 workers are all members, as before.

--- a/tests/test_subsetting_serve.py
+++ b/tests/test_subsetting_serve.py
@@ -67,7 +67,8 @@
 
     def ready(self) -> set[str]:
         """The workers that the decisions may send to, read on the thread of the loop."""
-        ready = self.run(lambda: {w.id for w in self.pool.dispatcher.balancer.order if w.ready})
+        balancer = self.pool.dispatcher.balancer
+        ready = self.run(lambda: {w.id for w in balancer.order if w.ready} | set(balancer.standby))
         assert isinstance(ready, set)
         return ready
 
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -1,7 +1,7 @@
 """All decisions of the balancer. Its settings, events and actions are in wickgw/interface.py.
 
-Read in order: learn (q), eligible, pick, outcomes, admission. One Balancer is one dispatcher and knows only
-what its own events told it. Times are seconds on the caller's clock.
+Read in order: learn (q), members, eligible, pick, outcomes, admission. One Balancer is one dispatcher and
+knows only what its own events told it. Times are seconds on the caller's clock.
 """
 
 import math
@@ -16,6 +16,7 @@
 from wickgw import interface as i
 from wickgw.books import NOBODY, Attempt, Bucket, Held, Index, Line, Paces, Request, Worker, ZoneWaits
 from wickgw.matrices import AT_ONCE, Matrices, Once, Solve
+from wickgw.standby import ADMITTED_AT_ONCE, MEMBERS, MEMBERS_A_STEP, MOST_MEMBERS, Standby
 from wickgw.validate import check
 
 GAMMA = 0.99  # discount: near 1, so that q tells speeds apart; a worker that never drains has q = 100
@@ -34,6 +35,7 @@
 SPARE, MOST_SPARE = 0.5, 50.0  # further attempts that one request gives a right to; most that are saved up
 PIECE = 0.004  # seconds between pieces
 PASSED = 100  # times in a row that room may go past a held request to other kinds; the next is its own
+MATES = 4  # workers of one group that become members for a repeat that may go nowhere else
 LOOKS = 8  # held requests of one kind that are looked at for a worker they may go to
 COPIES, SILENT = 2, 2.5  # of a job not begun; intervals of notes without one
 SLACK = 0.008  # seconds before its time is up at which a held request is answered
@@ -50,6 +52,9 @@
         self.random = random.Random(seed)
         self.workers: dict[str, Worker] = {}
         self.order: list[Worker] = []
+        self.standby = Standby(settings.zone if settings.crossing_fee > 0 else None)
+        self.most_members = MEMBERS
+        self.admitting = False  # a further call that admits members is on its way
         self.matrices = Matrices(GAMMA, SIGMA0 * max(1.0, settings.dispatchers / QUEUE))
         self.rows: list[Worker | None] = []  # whose each row of the matrices is
         self.active: set[Worker] = set()  # those with something to book at the next tick
@@ -141,12 +146,69 @@
         self.index.enter(w.row, free_at, open_at, rests, w.q * (1 + w.load) * toll, unused, w.slots - w.load)
         self.index.away[w.row] = w.zone != self.set.zone
 
+    def _admit(self, now: float) -> None:
+        """Workers on standby become members, a bounded number a call, while there is room."""
+        wanted = min(len(self.standby), ADMITTED_AT_ONCE)
+        if len(self.order) + wanted > self.most_members:
+            self._drop_draining(len(self.order) + wanted - self.most_members)
+        room = self.most_members - len(self.order)
+        if room <= 0 or not self.standby:
+            return
+        home = sum(w.zone == self.set.zone for w in self.order)
+        for entry in self.standby.take(min(room, ADMITTED_AT_ONCE), room, home, self.random):
+            self._add(entry, now)
+        room = self.most_members - sum(w.ready for w in self.order)
+        if room > 0 and self.standby and not self.admitting:
+            self.admitting = True
+            self._wake("admit", PIECE)
+
+    def _drop_draining(self, most: int) -> None:
+        """Members that drain make room for others; what was learned of them goes with them."""
+        for worker in [w for w in self.order if not w.ready][:most]:
+            self._drop(worker)
+
+    def _admit_more(self, now: float) -> bool:
+        """None of the members is free: a few more are tried. Whether any were."""
+        if not self.standby or len(self.order) >= MOST_MEMBERS:
+            return False
+        self.most_members = min(MOST_MEMBERS, max(self.most_members, len(self.order)) + MEMBERS_A_STEP)
+        before = len(self.order)
+        self._admit(now)
+        return len(self.order) > before
+
+    def _admit_mates(self, r: Request, now: float) -> bool:
+        """A repeat may only go to the group of its first attempt, of which no member is free: some of the
+        group become members, once for each request. Whether any did."""
+        if r.kind.group is i.Group.ALL or r.mates_admitted or not self.standby:
+            return False
+        r.mates_admitted = True
+        first, in_cell = r.attempts[0].worker, r.kind.group is i.Group.CELL
+        count = min(MATES, MOST_MEMBERS - len(self.order))
+        mates = self.standby.take_mates(
+            count, lambda e: e.cell == first.cell if in_cell else e.zone == first.zone
+        )
+        for entry in mates:
+            self._add(entry, now)
+        return bool(mates)
+
+    def _retire_unused(self, now: float) -> None:
+        """Members beyond the usual number go back on standby when they were not used for a while."""
+        over = len(self.order) - MEMBERS
+        if over <= 0 or not self.standby:
+            return
+        unused = [w for w in self.order if w.ready and not w.flying and now >= w.warm_at]
+        for worker in [w for w in unused if now - w.used_at > MEMORY][: min(over, MEMBERS_A_STEP)]:
+            self._drop(worker)
+            self.standby.add(worker.entry)
+        self.most_members = max(MEMBERS, len(self.order))
+
     def _add(self, entry: i.Entry, now: float) -> None:
         warm_at = -math.inf if entry.since is None else entry.since + self.set.warm_after
         row = self.matrices.add()
         self.rows += [None] * (self.matrices.size - len(self.rows))
         self.paces.enter(row, entry.kind)
-        worker = Worker(entry.worker, row, entry.zone, entry.cell, entry.since, warm_at)
+        worker = Worker(entry.worker, row, entry.zone, entry.cell, entry.since, warm_at, entry)
+        worker.used_at = now
         # Hundreds of us may see it start at once: the first send waits for a random part of a job's due.
         worker.cold_next = now + self._pace(worker, self.random.random() * sum(self.run) / len(self.run), now)
         worker.room = math.inf if worker.zone == self.set.zone else 1.0  # until seen: its zone has the rest
@@ -169,23 +231,32 @@
         if event.kind is i.ListKind.UNAVAILABLE:
             self._wake("ask", self.random.uniform(0.25, 4.0))  # not all of us at once
             return
-        named = {e.worker for e in event.entries}
         if event.kind is not i.ListKind.UPDATE:
+            named = {e.worker for e in event.entries}
             for worker in [w for w in self.order if w.id not in named]:
                 self._drop(worker)
+            self.standby.keep_only(named)
         for entry in event.entries:
-            old = self.workers.get(entry.worker)
-            same = old and old.since == entry.since and entry.health is i.Health.READY
-            if old and (same or entry.health is i.Health.DRAINING):  # drains kept: no grace is used
-                old.ready = bool(same)
-                self._changed(old)
-            else:
-                if old:  # gone, or restarted: it begins anew
-                    self._drop(old)
-                if entry.health is i.Health.READY:
-                    self._add(entry, now)
+            self._listed(entry)
+        self._admit(now)
         self._serve(now)
 
+    def _listed(self, entry: i.Entry) -> None:
+        """News of one worker."""
+        ready = entry.health is i.Health.READY
+        old = self.workers.get(entry.worker)
+        if old is None:
+            self.standby.discard(entry.worker)
+        else:
+            same = ready and old.since == entry.since
+            if same or entry.health is i.Health.DRAINING:  # drains kept: no grace is used
+                old.ready = same
+                self._changed(old)
+                return
+            self._drop(old)  # gone, or restarted: it begins anew
+        if ready:
+            self.standby.add(entry)
+
     def _pace(self, worker: Worker, cost: float, now: float) -> float:
         """Seconds in which a cold worker's share, rising, of what warm ones get from us makes up a job: in
         its capacity for all of us, and not too late for those who send seldom. Nothing known: one slot."""
@@ -214,6 +285,8 @@
     def _free(self, now: float) -> NDArray[np.intp]:
         """Workers (their rows) that may get something new now, whatever it is."""
         free = self.index.free(now)
+        if not len(free) and self._admit_more(now):
+            free = self.index.free(now)
         # If all look bad: rather our own view is.
         return free if len(free) or not self.index.all_rest(now) else self.index.but_for_rests(now)
 
@@ -227,6 +300,8 @@
             if r.attempts:
                 allowed, tried = self._allowed(r, now), r.attempts[-1].worker
                 pool = [w for w in pool if allowed(w) and w is not tried] if allowed else []
+                if allowed and not pool and self._admit_mates(r, now):
+                    return self._pick(r, self._free(now), now)
             if r.kind.effect is i.Effect.UNSAFE:  # it cannot be moved: no part in trials, if another is free
                 pool = [w for w in pool if not w.strikes] or pool
             if not pool:
@@ -258,6 +333,7 @@
         self.active.add(worker)
         r.attempts.append(attempt)
         worker.flying += 1
+        worker.used_at = now
         worker.load += r.slots
         worker.sent += 1
         worker.unstarted += self.set.tells_start
@@ -378,7 +454,7 @@
     def _room_in(self, r: Request) -> float:
         """Seconds until a refused job, come back, may find a worker free: those held run before it. Spread,
         so that clients refused together do not come back together."""
-        ready = max(1, int((self.index.rests < math.inf).sum()))
+        ready = max(1, int((self.index.rests < math.inf).sum()) + len(self.standby))
         work: float = sum(map(operator.mul, self.run, self.held.slots)) + self.run[r.cls] * r.slots
         share = work * self.set.dispatchers / ready  # the others hold about as much for the same workers
         most = self.set.most_after if self.stop_by == math.inf else 0.0  # elsewhere there is room at once
@@ -514,6 +590,10 @@
             self.todo.append(i.Subscribe())
         elif event.name == "solve":
             self._go_on()
+        elif event.name == "admit":
+            self.admitting = False
+            self._admit(now)
+            self._serve(now)
         elif event.name == "held":
             self.next_end = math.inf
             for r in self.held.over(now):
@@ -525,6 +605,7 @@
                 self.warm_rate += min(1.0, self.tick / 5) * (rate - self.warm_rate)
             self.work_sent = 0.0
             self._learn(now)
+            self._retire_unused(now)
             self._wake("tick", self.tick)
         if event.name == "tick" and len(self.out) > AT_ONCE:  # a call of its own
             self._wake("watch", 0.0)
--- a/wickgw/books.py
+++ b/wickgw/books.py
@@ -29,6 +29,8 @@
     cell: int
     since: float | None
     warm_at: float
+    entry: i.Entry  # as it was listed when it became a member
+    used_at: float = -math.inf  # when it got its last attempt
     ready: bool = True
     flying: int = 0  # own jobs in flight: x
     load: float = 0.0  # slots that they take
@@ -104,6 +106,7 @@
     size: float | None = None  # log of the seconds that it runs on a usual worker, once its progress tells
     late: bool = False  # too late for the full worth, held for the worth of a late answer
     ticket: int = -1  # its place among the held; -1: not held
+    mates_admitted: bool = False  # workers of its group were made members for it
 
     def slack(self, run: float) -> float:
         """Seconds that it may wait at a worker and still end within its class's aim, if it runs so long."""
@@ -208,7 +211,8 @@
 
     def enter(self, row: int, kind: str) -> None:
         """A row is a new worker's: it is as others of its kind are."""
-        if (more := row + 1 - len(self._own)) > 0:
+        if row >= len(self._own):  # twice as many at a time
+            more = max(2 * row, 8) - len(self._own)
             self._own = np.append(self._own, np.zeros(more))
             self._kind = np.append(self._kind, np.zeros(more, np.intp))
         number = self._numbers.setdefault(kind, len(self._numbers))
