More workers may be in use at once than have learned state

Need: with members capped at 512, a dispatcher with more jobs out than that on workers of one slot each held jobs although workers were free.

Change: members beyond 256 are bounded by four for each attempt that is out, and the rows of learned state by 512: a member beyond those goes by the pooled estimate. A cell's mates are admitted without a cap of their own.

--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -16,7 +16,14 @@
 from wickgw import interface as i
 from wickgw.books import NOBODY, Attempt, Bucket, Held, Index, Line, Paces, Request, Worker, ZoneWaits
 from wickgw.matrices import AT_ONCE, Matrices, Once, Solve
-from wickgw.standby import ADMITTED_AT_ONCE, MEMBERS, MEMBERS_A_STEP, MOST_MEMBERS, Standby
+from wickgw.standby import (
+    ADMITTED_AT_ONCE,
+    MEMBERS,
+    MEMBERS_A_STEP,
+    MEMBERS_AN_ATTEMPT,
+    MOST_LEARNED,
+    Standby,
+)
 from wickgw.validate import check
 
 GAMMA = 0.99  # discount: near 1, so that q tells speeds apart; a worker that never drains has q = 100
@@ -56,7 +63,8 @@
         self.most_members = MEMBERS
         self.admitting = False  # a further call that admits members is on its way
         self.matrices = Matrices(GAMMA, SIGMA0 * max(1.0, settings.dispatchers / QUEUE))
-        self.rows: list[Worker | None] = []  # whose each row of the matrices is
+        self.rows: list[Worker | None] = []  # whose each row is, of the matrices and of the index
+        self.unlearned: list[int] = []  # rows of nobody beyond the matrices
         self.active: set[Worker] = set()  # those with something to book at the next tick
         self.index = Index()
         self.solving: tuple[Once | Solve, list[Worker | None]] | None = None  # and whose its rows were
@@ -96,7 +104,7 @@
     def _learn(self, now: float) -> None:
         """A tick: book x, x_prev and u in the rows in use. New data weighs ever more, so old fades."""
         used = sorted((w for w in self.active if self.rows[w.row] is w), key=lambda w: w.row)
-        self.matrices.tick([(w.row, w.before, w.flying - w.sent) for w in used])
+        self.matrices.tick([(w.row, w.before, w.flying - w.sent) for w in used if w.row < MOST_LEARNED])
         for w in used:
             w.before, w.sent = w.flying, 0
         self.active = {w for w in used if w.flying}
@@ -169,10 +177,11 @@
 
     def _admit_more(self, now: float) -> bool:
         """None of the members is free: a few more are tried. Whether any were."""
-        if not self.standby or len(self.order) >= MOST_MEMBERS:
-            return False
-        self.most_members = min(MOST_MEMBERS, max(self.most_members, len(self.order)) + MEMBERS_A_STEP)
         before = len(self.order)
+        most = MEMBERS + MEMBERS_AN_ATTEMPT * len(self.out)
+        if not self.standby or before >= most:
+            return False
+        self.most_members = min(most, max(self.most_members, before) + MEMBERS_A_STEP)
         self._admit(now)
         return len(self.order) > before
 
@@ -183,9 +192,8 @@
             return False
         r.mates_admitted = True
         first, in_cell = r.attempts[0].worker, r.kind.group is i.Group.CELL
-        count = min(MATES, MOST_MEMBERS - len(self.order))
         mates = self.standby.take_mates(
-            count, lambda e: e.cell == first.cell if in_cell else e.zone == first.zone
+            MATES, lambda e: e.cell == first.cell if in_cell else e.zone == first.zone
         )
         for entry in mates:
             self._add(entry, now)
@@ -204,8 +212,7 @@
 
     def _add(self, entry: i.Entry, now: float) -> None:
         warm_at = -math.inf if entry.since is None else entry.since + self.set.warm_after
-        row = self.matrices.add()
-        self.rows += [None] * (self.matrices.size - len(self.rows))
+        row = self._new_row()
         self.paces.enter(row, entry.kind)
         worker = Worker(entry.worker, row, entry.zone, entry.cell, entry.since, warm_at, entry)
         worker.used_at = now
@@ -218,9 +225,23 @@
         worker.q = 1 / (1 - GAMMA * self.kept)
         self._changed(worker)
 
+    def _new_row(self) -> int:
+        """A row of nobody: one with learned state, as long as there are any."""
+        if self.matrices.left or self.matrices.size < MOST_LEARNED:
+            row = self.matrices.add()
+            self.rows += [None] * (self.matrices.size - len(self.rows))
+            return row
+        if not self.unlearned:
+            self.rows.append(None)
+            return len(self.rows) - 1
+        return self.unlearned.pop()
+
     def _drop(self, worker: Worker) -> None:
         self.rows[worker.row] = None
-        self.matrices.drop(worker.row)
+        if worker.row < self.matrices.size:
+            self.matrices.drop(worker.row)
+        else:
+            self.unlearned.append(worker.row)
         self.index.clear(worker.row)
         self.order.remove(worker)
         del self.workers[worker.id]
--- a/wickgw/standby.py
+++ b/wickgw/standby.py
@@ -14,9 +14,10 @@
 
 from wickgw import interface as i
 
-MEMBERS = 256  # workers with learned state, as long as some of them are free
-MOST_MEMBERS = 512  # with more than `MEMBERS` there is none free: more are tried
-MEMBERS_A_STEP = 16  # by which the bound rises when no member is free
+MEMBERS = 256  # as long as some of them are free
+MEMBERS_AN_ATTEMPT = 4  # beyond `MEMBERS`, for each attempt that is out, when no member is free
+MEMBERS_A_STEP = 16  # by which the bound rises at a time
+MOST_LEARNED = 512  # rows of learned state; members beyond that go by the pooled estimate
 ADMITTED_AT_ONCE = 64  # new members in one call: about a millisecond
 HOME_SHARE = 0.5  # of the members, where workers of other zones cost more
 
