A worker that starts while the list is watched is cold, whatever the wall clock said

What callers would see: a recovering worker pushed over. Discovery tells starts as Unix time, placed on the monotonic clock by one reading of the wall clock at the process's start (Clock.offset). An hour ahead there, a worker that starts now counts as warm at once; an hour behind, it stays cold for an hour.

Change: net/start_times.py. A start not known before counts from Unix time only if that lies between the answer before and now, otherwise from now; none lies in the future. The same start told again is the same, also after the worker left the list for a while (4,096 such are remembered). Starts in the first list still rest on the wall clock: nothing else tells them.

Measured: tests/test_start_times.py with the clock 1 h and 5 s ahead and behind, red before on all four, green after.

--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -108,6 +108,7 @@
         self.immediate_retries_left = IMMEDIATE_RETRIES
         self.may_have_missed_updates = False  # news may be missed while the call that is out is silent
         self.checked = False  # this connection has brought an answer
+        self.last_answer: float | None = None  # when discovery told its list last, by the loop's clock
         self.older_lists = 0  # whole lists in a row that were older than ours
         self.ask_whole = False  # though a version is held: it is not to be built on
         self.connection: DiscoveryConnection | None = None
@@ -243,6 +244,7 @@
         if whole or targets or not self.initialized:
             self.initialized = True
             self.on_update(i.ListKind.REPLACE if whole else i.ListKind.UPDATE, targets)
+        self.last_answer = self.loop.time()
         self.version = version
         if keep:
             self._ask()
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -24,6 +24,7 @@
 from wickgw.net.mgmt import Mgmt
 from wickgw.net.pools import Pools
 from wickgw.net.sockets import Sockets
+from wickgw.net.start_times import StartTimes
 from wickgw.net.watch_timing import WatchTiming
 from wickgw.net.worker_list import ListError, ListReader, Target
 from wickgw.observe import logger
@@ -66,6 +67,7 @@
             self._on_unavailable,
             WatchTiming(settings),
         )
+        self.start_times = StartTimes()
         # The list known at the start, until discovery has been asked for the first time.
         self.known: list[Target] | None = None
         self.address = self._address(clock)
@@ -106,6 +108,7 @@
                     self.discovery.resume_from(version)
             except ListError as error:
                 log.warning("known.unreadable", error=str(error))
+        known = self.start_times.date(i.ListKind.RESTORED, known, self.loop.time(), None)
         if self.discovery.timing.pushed:
             # The agent has had the news since before this process began, and answers at once: a job that
             # went by the older list until then could go to a worker that drains.
@@ -129,6 +132,7 @@
 
     def _on_update(self, kind: i.ListKind, targets: list[Target]) -> None:
         """News of the list."""
+        targets = self.start_times.date(kind, targets, self.loop.time(), self.discovery.last_answer)
         known, self.known = self.known, None
         if known is not None and kind is not i.ListKind.REPLACE:
             # The first answer tells what changed since the list known at the start: both count as one.
@@ -141,7 +145,9 @@
     def _on_unavailable(self) -> None:
         """Discovery did not answer the first call: what was known at the start is all there is."""
         if self.known:
-            self._on_update(i.ListKind.REPLACE, self.known)
+            known, self.known = self.known, None
+            self.pools.on_update(i.ListKind.REPLACE, known)
+            self.clients.ready = True
 
     def report(self) -> dict[str, object]:
         """The counters, and what is held right now."""
