--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -1,4 +1,4 @@
-"""A worker that starts while the list is watched is cold, whatever the wall clock said at the process's start."""
+"""A worker that starts while the list is watched is cold, whatever the wall clock said at the start."""
 
 import asyncio
 import json
--- a/wickgw/net/start_times.py
+++ b/wickgw/net/start_times.py
@@ -2,7 +2,7 @@
 
 Discovery tells a start as Unix time, which is placed on the monotonic clock by the wall clock as it was when
 the process began. That may have been wrong by an hour. A start that is first told while the list is watched
-came after the answer before, whatever Unix time says: only the starts of the first list rest on the wall clock.
+came after the answer before, whatever Unix time says: only those of the first list rest on the wall clock.
 """
 
 import dataclasses
