Starts of workers are dated as a list is read, part by part

Change: ListReader dates each entry as it reads it, 128 a turn, and keeps nothing until the list is accepted, so that one that is refused leaves no trace (test_list_that_is_not_accepted_leaves_nothing). Entries are built once.

--- a/tests/routes.py
+++ b/tests/routes.py
@@ -76,7 +76,7 @@
         def told() -> None:
             from wickgw import interface as i
 
-            _, _, targets = reader.decode(self.list(**states))
+            targets = reader.decode(self.list(**states)).targets
             self.node._on_update(i.ListKind.REPLACE, targets)
 
         self.run(told)
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -8,12 +8,10 @@
 
 import pytest
 
-from wickgw import interface as i
 from wickgw.config.relay import open_sockets, read_config
 from wickgw.emulator.roster import Roster
 from wickgw.emulator.serve_process import settings_for
-from wickgw.net.start_times import MOST_GONE, StartTimes
-from wickgw.net.worker_list import Target
+from wickgw.net.start_times import MOST_GONE, Start, StartTimes
 from wickgw.node import Node
 
 WARM_AFTER_S = 20.0  # of `settings_for`
@@ -72,33 +70,44 @@
         roster.close()
 
 
-def target(name: str, since: float | None, health: i.Health = i.Health.READY) -> Target:
-    return Target(i.Entry(name, health, since=since), "127.0.0.1:1")
+def dated(starts: StartTimes, now: float, **told: float | None) -> dict[str, Start]:
+    return {worker: starts.start_of(worker, at, now) for worker, at in told.items()}
 
 
-def sinces(targets: list[Target]) -> list[float | None]:
-    return [t.entry.since for t in targets]
+def sinces(starts: dict[str, Start]) -> list[float | None]:
+    return [start.since for start in starts.values()]
 
 
 def test_first_list_goes_by_unix_time_and_nothing_starts_in_the_future() -> None:
     starts = StartTimes()
-    first = [target("a", None), target("b", -50.0), target("c", 3600.0)]
-    assert sinces(starts.date(i.ListKind.REPLACE, first, 10.0, None)) == [None, -50.0, 10.0]
-    assert sinces(starts.date(i.ListKind.REPLACE, first, 15.0, 10.0)) == [None, -50.0, 10.0]
+    first = dated(starts, 10.0, a=None, b=-50.0, c=3600.0)
+    assert sinces(first) == [None, -50.0, 10.0]
+    starts.accept(True, first, ())
+    starts.answered(10.0)
+    assert sinces(dated(starts, 15.0, a=None, b=-50.0, c=3600.0)) == [None, -50.0, 10.0]
 
 
 def test_start_told_between_two_answers_goes_by_unix_time_if_that_lies_between_them() -> None:
     starts = StartTimes()
-    starts.date(i.ListKind.REPLACE, [], 10.0, None)
-    new = [target("a", 12.0), target("b", 9.0), target("c", 16.0)]
-    assert sinces(starts.date(i.ListKind.UPDATE, new, 15.0, 10.0)) == [12.0, 15.0, 15.0]
+    starts.accept(True, {}, ())
+    starts.answered(10.0)
+    assert sinces(dated(starts, 15.0, a=12.0, b=9.0, c=16.0)) == [12.0, 15.0, 15.0]
+
+
+def test_list_that_is_not_accepted_leaves_nothing() -> None:
+    starts = StartTimes()
+    starts.answered(10.0)
+    dated(starts, 15.0, a=9.0)
+    assert sinces(dated(starts, 16.0, a=9.0)) == [16.0]
 
 
 def test_workers_that_left_are_remembered_up_to_a_bound() -> None:
     starts = StartTimes()
-    many = [target(f"w{n}", float(n)) for n in range(MOST_GONE + 10)]
-    starts.date(i.ListKind.REPLACE, many, 10_000.0, None)
-    starts.date(i.ListKind.REPLACE, [], 10_001.0, 10_000.0)
+    many = {f"w{n}": float(n) for n in range(MOST_GONE + 10)}
+    starts.accept(True, dated(starts, 10_000.0, **many), ())
+    starts.accept(False, dated(starts, 10_000.0, left=1.0), ["left"])
+    starts.accept(True, {}, ())
+    starts.answered(10_001.0)
     assert len(starts._gone) == MOST_GONE and not starts._listed
-    back = starts.date(i.ListKind.UPDATE, [many[-1]], 10_002.0, 10_001.0)
-    assert sinces(back) == [float(MOST_GONE + 9)]
+    kept = [worker for worker in (*many, "left") if worker in starts._gone]
+    assert sinces(dated(starts, 10_002.0, **{kept[0]: many[kept[0]]})) == [many[kept[0]]]
--- a/tests/test_subsetting_serve.py
+++ b/tests/test_subsetting_serve.py
@@ -50,7 +50,7 @@
 
     def change(self, targets: Sequence[dict[str, object]]) -> None:
         """News of some workers of the list."""
-        _, _, read = self.node.discovery.reader.decode({"rev": 2, "all": False, "targets": targets})
+        read = self.node.discovery.reader.decode({"rev": 2, "all": False, "targets": targets}).targets
         self.run(lambda: self.node._on_update(i.ListKind.UPDATE, read))
         self.wait_until_read()
 
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -108,7 +108,6 @@
         self.immediate_retries_left = IMMEDIATE_RETRIES
         self.may_have_missed_updates = False  # news may be missed while the call that is out is silent
         self.checked = False  # this connection has brought an answer
-        self.last_answer: float | None = None  # when discovery told its list last, by the loop's clock
         self.older_lists = 0  # whole lists in a row that were older than ours
         self.ask_whole = False  # though a version is held: it is not to be built on
         self.connection: DiscoveryConnection | None = None
@@ -228,7 +227,7 @@
 
     def _take(self, connection: DiscoveryConnection, message: ListMessage, keep: bool) -> None:
         """A whole answer has been read. Raises ListError."""
-        version, whole, targets = message
+        version, whole, targets = message.version, message.whole, message.targets
         if self.version is not None and version < self.version:
             self.older_lists += whole
             self.ask_whole = True
@@ -237,6 +236,8 @@
             log.warning("discovery.anew", version=version)
         if not whole and self.version is None:
             raise ListError("changes to a list never given")
+        self.reader.accept(message)
+        self.reader.start_times.answered(self.loop.time())
         self.failures = self.older_lists = 0
         self.immediate_retries_left, self.may_have_missed_updates = IMMEDIATE_RETRIES, False
         self.checked = self.confirmed = True
@@ -244,7 +245,6 @@
         if whole or targets or not self.initialized:
             self.initialized = True
             self.on_update(i.ListKind.REPLACE if whole else i.ListKind.UPDATE, targets)
-        self.last_answer = self.loop.time()
         self.version = version
         if keep:
             self._ask()
--- a/wickgw/net/start_times.py
+++ b/wickgw/net/start_times.py
@@ -5,74 +5,63 @@
 came after the answer before, whatever Unix time says: only those of the first list rest on the wall clock.
 """
 
-import dataclasses
 from collections import OrderedDict
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from wickgw import interface as i
-from wickgw.net.worker_list import Target
-
 MOST_GONE = 4096  # workers that left the list and are remembered: back without a new start, one is not cold
 
 
-class _Start(NamedTuple):
-    """A start of a worker, in monotonic seconds."""
+class Start(NamedTuple):
+    """A start of a worker, in monotonic seconds; None: long ago."""
 
     told: float | None  # by Unix time; it also tells starts apart
-    since: float | None  # as it counts
+    since: float | None  # from when it counts
 
 
 class StartTimes:
     """The last start of each listed worker, and of some that left."""
 
     def __init__(self) -> None:
-        self._listed: dict[str, _Start] = {}
-        self._gone: OrderedDict[str, _Start] = OrderedDict()
+        self.last_answer: float | None = None  # when discovery told its list last; None: not yet
+        self._listed: dict[str, Start] = {}
+        self._gone: OrderedDict[str, Start] = OrderedDict()
+
+    def start_of(self, worker: str, told: float | None, now: float) -> Start:
+        """The start of a worker that an answer names, which came now. Nothing is kept until `accept`."""
+        start = self._listed.get(worker) or self._gone.get(worker)
+        if start is None or start.told != told:
+            start = Start(told, self._counts_from(told, now))
+        return start
 
-    def date(
-        self, kind: i.ListKind, targets: list[Target], now: float, last_answer: float | None
-    ) -> list[Target]:
-        """The targets with the starts that count. `last_answer` is when discovery told its list before this
-        answer; None if this is its first."""
+    def _counts_from(self, told: float | None, now: float) -> float | None:
+        if told is None:
+            return None
+        if told > now:
+            return now
+        if self.last_answer is not None and told < self.last_answer:  # it would have been told then
+            return now
+        return told
+
+    def accept(self, whole: bool, starts: dict[str, Start], gone: Iterable[str]) -> None:
+        """A list is taken: the whole one, or what changed in it, with the workers among these that left."""
         before = self._listed
-        if kind is not i.ListKind.UPDATE:
-            self._listed = {}
-        dated = [self._date(target, before, now, last_answer) for target in targets]
-        if kind is not i.ListKind.UPDATE:
-            for worker in before.keys() - self._listed.keys():
+        if whole:
+            self._listed = starts
+            for worker in before.keys() - starts.keys():
                 self._leave(worker, before[worker])
-        return dated
-
-    def _date(
-        self, target: Target, before: dict[str, _Start], now: float, last_answer: float | None
-    ) -> Target:
-        entry = target.entry
-        start = before.get(entry.worker) or self._gone.get(entry.worker)
-        if start is None or start.told != entry.since:
-            start = _Start(entry.since, _counts_from(entry.since, now, last_answer))
-        if entry.health is i.Health.GONE:
-            self._listed.pop(entry.worker, None)
-            self._leave(entry.worker, start)
         else:
-            self._listed[entry.worker] = start
-            self._gone.pop(entry.worker, None)
-        if start.since == entry.since:
-            return target
-        return target._replace(entry=dataclasses.replace(entry, since=start.since))
+            before.update(starts)
+        for worker in gone:
+            if (start := self._listed.pop(worker, None)) is not None:
+                self._leave(worker, start)
 
-    def _leave(self, worker: str, start: _Start) -> None:
+    def answered(self, now: float) -> None:
+        """Discovery has told its list as it is now."""
+        self.last_answer = now
+
+    def _leave(self, worker: str, start: Start) -> None:
         self._gone[worker] = start
         self._gone.move_to_end(worker)
         if len(self._gone) > MOST_GONE:
             self._gone.popitem(last=False)
-
-
-def _counts_from(told: float | None, now: float, last_answer: float | None) -> float | None:
-    """The moment that a start which was not known before counts from."""
-    if told is None:  # long ago
-        return None
-    if told > now:
-        return now
-    if last_answer is not None and told < last_answer:  # it would have been told then
-        return now
-    return told
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -24,7 +24,6 @@
 from wickgw.net.mgmt import Mgmt
 from wickgw.net.pools import Pools
 from wickgw.net.sockets import Sockets
-from wickgw.net.start_times import StartTimes
 from wickgw.net.watch_timing import WatchTiming
 from wickgw.net.worker_list import ListError, ListReader, Target
 from wickgw.observe import logger
@@ -67,7 +66,6 @@
             self._on_unavailable,
             WatchTiming(settings),
         )
-        self.start_times = StartTimes()
         # The list known at the start, until discovery has been asked for the first time.
         self.known: list[Target] | None = None
         self.address = self._address(clock)
@@ -103,12 +101,13 @@
         known: list[Target] = []
         if self.config.known is not None:
             try:
-                version, whole, known = reader.decode(self.config.known)
-                if whole and known:
-                    self.discovery.resume_from(version)
+                message = reader.decode(self.config.known)
+                reader.accept(message)
+                known = message.targets
+                if message.whole and known:
+                    self.discovery.resume_from(message.version)
             except ListError as error:
                 log.warning("known.unreadable", error=str(error))
-        known = self.start_times.date(i.ListKind.RESTORED, known, self.loop.time(), None)
         if self.discovery.timing.pushed:
             # The agent has had the news since before this process began, and answers at once: a job that
             # went by the older list until then could go to a worker that drains.
@@ -132,7 +131,6 @@
 
     def _on_update(self, kind: i.ListKind, targets: list[Target]) -> None:
         """News of the list."""
-        targets = self.start_times.date(kind, targets, self.loop.time(), self.discovery.last_answer)
         known, self.known = self.known, None
         if known is not None and kind is not i.ListKind.REPLACE:
             # The first answer tells what changed since the list known at the start: both count as one.
@@ -145,9 +143,7 @@
     def _on_unavailable(self) -> None:
         """Discovery did not answer the first call: what was known at the start is all there is."""
         if self.known:
-            known, self.known = self.known, None
-            self.pools.on_update(i.ListKind.REPLACE, known)
-            self.clients.ready = True
+            self._on_update(i.ListKind.REPLACE, self.known)
 
     def report(self) -> dict[str, object]:
         """The counters, and what is held right now."""
