Reports tell members and the peak of memory

Test changed: test_client_that_ends_its_side_with_answers_unread... failed 4 of 4 times with the longer reports: the client's requests were held back by the system (no TCP_NODELAY) and came all at once, so that unread answers went from 0 to 262,345 bytes in one step, over the bound of 262,144 where a connection is answered 413.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -407,6 +407,7 @@
         scene.play("d send list 5 whole\nd expect index=5\na open\nnode wait client_connections 1")
         a = scene.connections["a"]
         a.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+        a.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # held back, they would come all at once
 
         async def unwritten() -> int:
             (connection,) = scene.node.clients.connections
--- a/wickgw/net/pool_server.py
+++ b/wickgw/net/pool_server.py
@@ -159,6 +159,7 @@
         """Counters, and what it holds now."""
         ready, draining = self.counts
         held = {"owed": self.dispatcher.owed, "ready": ready, "draining": draining}
+        held |= {"members": len(self.dispatcher.balancer.order)}
         held |= {
             "tries_out": len(self.connections.attempts),
             "peer_connections": len(self.connections.connections),
--- a/wickgw/net/pools.py
+++ b/wickgw/net/pools.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import resource
 from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -224,6 +225,8 @@
             "tries_out": sum(len(s.connections.attempts) for s in every),
             "peer_connections": sum(len(s.connections.connections) for s in every),
             "peers": len({worker for s in every for worker in s.connections.endpoints}),
+            "members": sum(len(s.dispatcher.balancer.order) for s in every),
+            "peak_memory_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024 / 1e6, 1),
             "peer_connections_opened": sum(s.connections.opened for s in every),
             "max_stall_ms": round(max(s.dispatcher.max_stall for s in every) * 1000, 1),
             "longest_step_ms": round(longest * 1000, 1),
