--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -739,6 +739,19 @@
     assert BASE_MB + (ours * (3 + 144 / 6) + peers * (6 + 148 / 6)) * 1024 / 1e6 <= memory
 
 
+def test_memory_of_a_long_list_is_not_given_to_connections() -> None:
+    async def limits(workers: int) -> tuple[int, int]:
+        sockets = Sockets(asyncio.get_running_loop(), 1024, 56)
+        sockets.list_has(workers)
+        sockets.close()
+        return sockets.for_clients, sockets.for_workers
+
+    ours, peers = asyncio.run(limits(3200))
+    listed_mb = 3200 * 1.7 / 1000
+    assert BASE_MB + listed_mb + (ours * (3 + 144 / 6) + peers * (6 + 148 / 6)) * 1024 / 1e6 <= 56
+    assert (ours, peers) < asyncio.run(limits(200)) and min(ours, peers) > 50
+
+
 def test_flood_of_clients_does_not_delay_a_try(monkeypatch: pytest.MonkeyPatch) -> None:
     """Making a transport takes turns of the loop; hundreds of accepted sockets may wait for theirs."""
     opened = list[socket.socket]()
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -17,6 +17,7 @@
 log = logger("wickgw")
 RESERVE = 24  # descriptors for the listener, discovery, the loop itself, logs and imports
 BASE_MB = 36  # what the process holds without a connection, 28 as measured, and some
+LISTED_WORKER_BYTES = 2000  # what a worker of the list costs: 1.7 KB measured from 200 to 3,200 workers
 OPENERS = 4  # tasks for each side: opening one takes some turns of the loop, and others wait behind it
 # Clients, workers and discovery, and operators' calls: a flood on one side must not delay another.
 SIDES = {"clients": OPENERS, "workers": OPENERS, "mgmt": 1}
@@ -110,6 +111,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: int, memory_mb: float) -> None:
         self.loop = loop
+        self.listed = 0  # workers in the list
         self.limit(descriptors, memory_mb)
         self.opening = 0  # sockets that have no transport yet
         self.sides: list[PoolConnections] = []  # one for each pool
@@ -121,15 +123,23 @@
 
     def limit(self, descriptors: int, memory_mb: float) -> None:
         """Share out what the process may hold. Connections beyond a lower limit are not closed for it."""
+        self.descriptors, self.memory_mb = descriptors, memory_mb
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         most = descriptors if soft == resource.RLIM_INFINITY else min(descriptors, soft)
         # Operators' callers: few, and those that say nothing are let go within a second or two.
         self.for_calls = max(4, min(16, most // 32))
         free = most - min(RESERVE, most // 3) - self.for_calls
         clients, workers = free * FOR_CLIENTS, free * (1 - FOR_CLIENTS)
-        fit = min(1.0, (memory_mb - BASE_MB) * 1e6 / (clients * _CLIENT + workers * _WORKER))
+        left = (memory_mb - BASE_MB) * 1e6 - self.listed * LISTED_WORKER_BYTES
+        fit = min(1.0, max(0.0, left) / (clients * _CLIENT + workers * _WORKER))
         self.for_clients, self.for_workers = max(8, int(clients * fit)), max(8, int(workers * fit))
 
+    def list_has(self, workers: int) -> None:
+        """So many workers are listed: their memory is not there for connections."""
+        if workers != self.listed:
+            self.listed = workers
+            self.limit(self.descriptors, self.memory_mb)
+
     def left_for_workers(self, side: "PoolConnections") -> int:
         """Connections that a pool may still open. Half of an even share is kept for each of the others, so
         that one pool's trouble does not take the descriptors of all."""
--- a/wickgw/net/start_times.py
+++ b/wickgw/net/start_times.py
@@ -27,6 +27,10 @@
         self._listed: dict[str, Start] = {}
         self._gone: OrderedDict[str, Start] = OrderedDict()
 
+    def __len__(self) -> int:
+        """How many workers are listed."""
+        return len(self._listed)
+
     def start_of(self, worker: str, told: float | None, now: float) -> Start:
         """The start of a worker that an answer names, which came now. Nothing is kept until `accept`."""
         start = self._listed.get(worker) or self._gone.get(worker)
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -137,6 +137,7 @@
             held = {t.entry.worker: t for t in (*known, *targets)}
             kind = i.ListKind.REPLACE
             targets = [t for t in held.values() if t.entry.health is not i.Health.GONE]
+        self.sockets.list_has(len(self.discovery.reader.start_times))
         self.pools.on_update(kind, targets)
         self.clients.ready = True
 
