Attempts that ended are not held by their worker's record

Cause: the list of a worker's waiting attempts was pruned only when the next one waited there, so each worker met held its last attempt with its request and body (up to 64 KB).

Change: one set of the attempts that wait for a connection, left when the attempt is written or ends (Attempt.end).

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -739,6 +739,19 @@
     assert BASE_MB + (ours * (3 + 144 / 6) + peers * (6 + 148 / 6)) * 1024 / 1e6 <= memory
 
 
+def test_attempt_that_has_begun_or_ended_is_not_held_as_one_that_opens() -> None:
+    """It would hold its request and its body for as long as its worker gets no other connection."""
+    scene = Scene()
+    try:
+        opening = scene.node.pools.servers[""].connections.opening
+        scene.play("a send job 1\nw0 gets 1")
+        assert not opening
+        scene.play("w0 send serve 1\na expect 200 OK.*made\nnode wait owed 0")
+        assert not opening
+    finally:
+        scene.close()
+
+
 def test_memory_of_a_long_list_is_not_given_to_connections() -> None:
     async def limits(workers: int) -> tuple[int, int]:
         sockets = Sockets(asyncio.get_running_loop(), 1024, 56)
--- a/wickgw/net/attempt.py
+++ b/wickgw/net/attempt.py
@@ -70,4 +70,5 @@
         self.over = True
         self.timer.cancel()
         del self.pool.attempts[self.pending.id, self.number]
+        self.pool.opening.discard(self)
         self.pool.dispatcher.ended(self.pending.id, self.number, verdict, result, self.free)
--- a/wickgw/net/worker_connection.py
+++ b/wickgw/net/worker_connection.py
@@ -47,7 +47,6 @@
     since: float | None  # its last start
     listed: bool = True  # as it stands here; False once it is gone, has moved or has started anew
     idle: list["WorkerConnection"] = field(default_factory=list)
-    waiting: list[Attempt] = field(default_factory=list)  # for a new connection to open; some may be over
 
 
 class WorkerConnection(Connection):
@@ -149,6 +148,7 @@
         self.status, self.outcome, self.size, self.written = None, None, 0, False
         self.line.clear()
         self.begun = True
+        self.pool.opening.discard(self.attempt)
         self.transport.write(self.attempt.request())
         # A write that fails at once leaves the buffer empty too, but nothing of it was sent: the transport
         # is closing then.
--- a/wickgw/net/worker_connections.py
+++ b/wickgw/net/worker_connections.py
@@ -40,6 +40,7 @@
         self.keep = idle_close * TRUSTED_SHARE
         self.endpoints: dict[str, WorkerEndpoint] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.opening: set[Attempt] = set()  # those of the attempts that wait for a new connection
         self.connections: set[WorkerConnection] = set()
         self.idle_order: OrderedDict[WorkerConnection, None] = OrderedDict()  # longest idle first
         self.opened = 0
@@ -79,10 +80,8 @@
             self._withdraw_from(self.endpoints[worker])
 
     def _withdraw_from(self, endpoint: WorkerEndpoint) -> None:
-        waiting, endpoint.waiting = endpoint.waiting, []
-        for attempt in waiting:
-            if not attempt.over and attempt.opening:
-                attempt.give_up(i.Verdict.NOT_SENT)
+        for attempt in [a for a in self.opening if a.opening and a.opening.endpoint is endpoint]:
+            attempt.give_up(i.Verdict.NOT_SENT)
 
     def withdraw(self, request: str, number: int) -> None:
         """The request is over: an attempt that is not written yet never will be."""
@@ -113,7 +112,7 @@
         if self.sockets.left_for_workers(self) <= 0:
             attempt.end(i.Verdict.CONNECT_FAILED)  # no descriptor left: true, it never ran
             return
-        endpoint.waiting = [a for a in endpoint.waiting if not a.over and a.opening] + [attempt]
+        self.opening.add(attempt)
         attempt.connection = connection = WorkerConnection(self, endpoint, attempt)
         self.connections.add(connection)
         connection.open()
