A repeat's group is that of the attempt that may have run, on standby too

Cause: Balancer._admit_mates took the group of the first attempt, though that one may never have run; Balancer._allowed goes by the first that may have. On over 256 workers such a keyed repeat found nobody and failed. Found on reading the change.

Change: the same attempt as in _allowed. Measured: test_repeat_is_bound_to_the_attempt_that_may_have_run..., red without it, green with it; 16 tests of standby green.

--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -172,6 +172,18 @@
     assert second.cell == first.cell and second.worker != first.worker
 
 
+def test_repeat_is_bound_to_the_attempt_that_may_have_run_and_not_to_one_that_never_did() -> None:
+    listed = tuple(i.Entry(f"w{n}", cell=n // 4) for n in range(MANY))
+    c = caller(listed, KEYED[i.Group.CELL])
+    c.arrive("r")
+    c.end("r", i.Verdict.CONNECT_FAILED)
+    c.start("r", 1)
+    c.end("r", i.Verdict.ERROR, 1)
+    c.wait(0.1)
+    _, ran, repeat = (attempt.worker for attempt in c.owed["r"].tries)
+    assert repeat.cell == ran.cell and repeat.worker != ran.worker
+
+
 def test_workers_of_the_own_zone_are_half_of_the_members_where_crossing_costs() -> None:
     listed = tuple(i.Entry(f"w{n}", zone=n % 16) for n in range(MANY))
     for fee, least in ((0.03, MEMBERS // 2), (0.0, 1)):
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -186,12 +186,15 @@
         return len(self.order) > before
 
     def _admit_mates(self, r: Request, now: float) -> bool:
-        """A repeat may only go to the group of its first attempt, of which no member is free: some of the
-        group become members, once for each request. Whether any did."""
+        """A repeat may only go to the group of the first attempt that may have run, of which no member is
+        free: some of the group become members, once for each request. Whether any did."""
         if r.kind.group is i.Group.ALL or r.mates_admitted or not self.standby:
             return False
+        risky = [a.worker for a in r.attempts if a.verdict not in NEVER_RAN]
+        if not risky:
+            return False
         r.mates_admitted = True
-        first, in_cell = r.attempts[0].worker, r.kind.group is i.Group.CELL
+        first, in_cell = risky[0], r.kind.group is i.Group.CELL
         mates = self.standby.take_mates(
             MATES, lambda e: e.cell == first.cell if in_cell else e.zone == first.zone
         )
