--- a/review/2/case.py
+++ b/review/2/case.py
@@ -65,9 +65,11 @@
         raise CouldNotRunError(f"{name} did not take the address")
 
 
-async def client(case: Case, number: int, service_port: int, seen: list[Seen]) -> None:
-    """Hand in look-ups one after the other, each on a new connection, until cancelled."""
+async def client(case: Case, number: int, service_port: int, seen: list[Seen], over: asyncio.Event) -> None:
+    """Hand in look-ups one after the other, each on a new connection, until it is over."""
     for count in itertools.count():
+        if over.is_set():
+            return
         request = f"{number:02x}{count:014x}"
         seen.append(await ask(case.record, service_port, request, "label-lookup", 5.0))
         await asyncio.sleep(0.02)
@@ -115,8 +117,10 @@
         one.write_ini(ini(members, key, service_port, LEASE_BEFORE_MS))
         one.start()
     await held_by(service_port, "n0", 30.0)
-    seen: list[Seen] = []
-    clients = [asyncio.create_task(client(case, number, service_port, seen)) for number in range(CLIENTS)]
+    seen, over = list[Seen](), asyncio.Event()
+    clients = [
+        asyncio.create_task(client(case, number, service_port, seen, over)) for number in range(CLIENTS)
+    ]
     await asyncio.sleep(3.0)
     lease_ms = LEASE_AFTER_MS if TROUBLE else LEASE_BEFORE_MS
     case.record(f"operator writes the same file with lease_ms = {lease_ms} on every instance")
@@ -132,9 +136,8 @@
         await restart(one)
         # The next one only when the group has settled: n0 has been given the address back after hold_down_s.
         await asyncio.sleep(16.0 if one.name == "n0" else 5.0)
-    for task in clients:
-        task.cancel()
-    await asyncio.gather(*clients, return_exceptions=True)
+    over.set()
+    await asyncio.gather(*clients)
     names = sorted({one.body.split()[-1] for one in seen if one.status == 200})
     case.record(f"verdict  {len(seen)} requests, served by {names}, at {time.strftime('%H:%M:%S')}")
     found = taken_by_two(seen)
--- a/review/standins.py
+++ b/review/standins.py
@@ -264,6 +264,7 @@
         self, case: "Case", name: str, discovery: Discovery, ini: str = "", dispatchers: int = 1
     ) -> None:
         self.case, self.name, self.discovery, self.dispatchers = case, name, discovery, dispatchers
+        self.memory_mb, self.descriptors = 192, 1024  # the most that the pages set for scored days
         self.port, self.ini = free_port(), case.folder / f"{name}.ini"
         self.process: subprocess.Popen[bytes] | None = None
         self.log = case.folder / f"{name}.log"
@@ -280,7 +281,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{self.discovery.port}",
             "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.descriptors},
             "settings": settings(self.dispatchers),
         }
         path, scratch = self.case.folder / f"{self.name}.json", self.case.folder / f"{self.name}.tmp"
@@ -410,7 +411,12 @@
     """Play a case, write its verdict and exit. `play` returns what broke the rule; nothing if it held."""
     case, code = Case(folder), COULD_NOT_RUN
 
+    def note(_loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+        if not isinstance(context.get("exception"), asyncio.CancelledError):  # a stand-in at its end
+            case.record(f"stand-in {context.get('message')}: {context.get('exception')!r}")
+
     async def within_limit() -> list[str]:
+        asyncio.get_running_loop().set_exception_handler(note)
         return await asyncio.wait_for(_as_coroutine(play(case)), TIME_LIMIT_S)
 
     try:
