End every process of a review case, also if its script is stopped or killed

Cause: a script that was told to stop, or killed, left its dispatchers running; only a run to its end cleared up. Change: signals to stop end the case in good order, and a dispatcher is killed by the system if the case ends first. The record says how many processes are left.

--- a/review/standins.py
+++ b/review/standins.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import re
@@ -26,6 +27,8 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TIME_LIMIT_S = 110.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+PR_SET_PDEATHSIG = 1  # prctl: the signal that a process gets when its parent has ended
+LIBC = ctypes.CDLL(None)
 
 
 def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
@@ -35,6 +38,16 @@
         return int(sock.getsockname()[1])
 
 
+def end_with_the_case() -> None:
+    """Let a new process be killed if the process of the case ends first, however that ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def stop_the_case(number: int, _frame: object) -> None:
+    """End the case in good order if it is told to stop: its processes end with it."""
+    raise SystemExit(COULD_NOT_RUN)
+
+
 class Record:
     """The record of a run: one line for each thing that was sent, answered or run, with its time."""
 
@@ -299,7 +312,12 @@
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=log, stderr=log
+                ["/bin/sh", "-c", command],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=end_with_the_case,
             )
         self.case.record(f"process  {self.name} starts, pid {self.process.pid}")
 
@@ -393,11 +411,14 @@
 
     def close(self) -> None:
         """End the processes that this case started, and remove its folder."""
-        for dispatcher in self.dispatchers:
-            if dispatcher.process is not None and dispatcher.process.poll() is None:
-                dispatcher.process.send_signal(signal.SIGCONT)
-                dispatcher.process.kill()
-                dispatcher.process.wait(10)
+        processes = [one.process for one in self.dispatchers if one.process is not None]
+        for process in processes:
+            process.kill()  # does nothing to one that has ended
+        for process in processes:
+            process.wait(10)
+        self.record.file.write(
+            f"processes that this case started and that are left: {left_over(processes)}\n"
+        )
         for dispatcher in self.dispatchers:
             if dispatcher.log.exists():
                 for line in dispatcher.log.read_text(errors="replace").splitlines():
@@ -407,9 +428,16 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def left_over(processes: "list[subprocess.Popen[bytes]]") -> int:
+    """Return how many of these processes are still there."""
+    return sum(Path(f"/proc/{process.pid}").exists() for process in processes)
+
+
 def run_case(folder: Path, play: Callable[[Case], Awaitable[list[str]]]) -> None:
     """Play a case, write its verdict and exit. `play` returns what broke the rule; nothing if it held."""
     case, code = Case(folder), COULD_NOT_RUN
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop_the_case)
 
     def note(_loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         if not isinstance(context.get("exception"), asyncio.CancelledError):  # a stand-in at its end
