Match path patterns of routes with RE2: a client's path could hold the process up

Callers saw (by trial on the table; no site serves with patterns today): with a route such as path_pattern = /.*/.*/.*/.*x a path of 2 KB that does not match in the end keeps the look-up busy for hours, and with it every other client, as the heads of spaces did. Here the pattern is not ours, so it can't be written better. Change: patterns are compiled by RE2 (google-re2), which is linear in the path; Python's engine only checks the syntax.

--- a/wickgw/routing/match.py
+++ b/wickgw/routing/match.py
@@ -11,6 +11,7 @@
 from functools import cached_property
 
 from wickgw.routing import normal
+from wickgw.routing.pattern import Pattern, compile_pattern
 
 
 @dataclass(frozen=True)
@@ -66,8 +67,9 @@
     text: str
 
     @cached_property
-    def _compiled(self) -> re.Pattern[str]:
-        return re.compile(self.text)
+    def compiled(self) -> Pattern:
+        """The regular expression of a pattern. Raises ValueError if it is malformed or not allowed."""
+        return compile_pattern(self.text)
 
     @cached_property
     def literal(self) -> str:
@@ -83,7 +85,7 @@
             return path == self.text
         if self.kind == "prefix":
             return path == self.text or path.startswith(self.text if self.text == "/" else self.text + "/")
-        return self._compiled.fullmatch(path) is not None
+        return self.compiled.fullmatch(path) is not None
 
     @property
     def rank(self) -> tuple[int, int]:
@@ -185,10 +187,11 @@
     if kind == "pattern":
         if not text.startswith("/"):
             raise ValueError(f"a pattern begins with a slash: {text!r}")
+        matcher = PathMatcher(kind, text)
         try:
-            re.compile(text)
-        except re.error as error:
+            _ = matcher.compiled
+        except ValueError as error:
             raise ValueError(f"not a pattern: {text!r}: {error}") from error
-        return PathMatcher(kind, text)
+        return matcher
     path = normal.path(text)
     return PathMatcher(kind, path.rstrip("/") or "/" if kind == "prefix" else path)
