Search trailers and job events for their end in new bytes only

Change: the search for the end of trailers goes on where it stopped, as that for the end of a head does; a piece of an event without a line end is not searched for together with what came before.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -5,6 +5,7 @@
 import contextlib
 import re
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 from cpu_limit import cpu_limit
@@ -12,6 +13,7 @@
 from hypothesis import strategies as st
 
 from wickgw.net import clients, http
+from wickgw.net.worker_connection import WorkerConnection
 
 REQUESTS = (
     b"POST /look?x=1 HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: 5\r\n\r\nab\r\ncGET / HTTP/1.1\r\n"
@@ -249,3 +251,37 @@
 )
 def test_slots_are_read_from_names_and_values_without_the_spaces_around_them(extra: str) -> None:
     assert clients._requested_slots(extra) == requested_slots_by_reference(extra)
+
+
+# Bytes that arrive in small pieces are not searched again from the start.
+
+
+class CountingBuffer(bytearray):
+    """Counts the bytes that are searched for the end of a line or of a head."""
+
+    searched_bytes = 0
+
+    def find(self, sub: Any, start: Any = 0, end: Any = None) -> int:
+        found = super().find(sub, start, len(self) if end is None else end)
+        self.searched_bytes += (len(self) if found < 0 else found + len(sub)) - start
+        return found
+
+
+@pytest.mark.parametrize("data", [b"", CHUNKED_HEAD + b"0\r\nT: "], ids=["head", "trailers"])
+def test_end_is_searched_for_in_new_bytes_only(data: bytes) -> None:
+    """Guards against trailers that were searched from their start for each byte (docs/incidents/47-1)."""
+    parser, count = http.RequestParser(), 10_000
+    parser.buffer = buffer = CountingBuffer()
+    for piece in [data, *[b"x"] * count]:
+        parser.feed(piece)
+        assert parser.next() is None
+    assert buffer.searched_bytes < 5 * count  # up to three bytes before the new one may begin the end
+
+
+def test_job_event_in_many_pieces_is_searched_for_its_end_once() -> None:
+    """Guards against a job event that was searched from its start for each byte (docs/incidents/47-1)."""
+    connection, count = WorkerConnection(Any, Any, Any), 10_000  # type: ignore[arg-type]
+    connection.head, connection.line_buffer = http.ResponseHead(200, {}), CountingBuffer()
+    for _ in range(count):
+        connection._read_body(b"x")
+    assert connection.line_buffer.searched_bytes < 5 * count
--- a/wickgw/net/http.py
+++ b/wickgw/net/http.py
@@ -140,7 +140,7 @@
 
     def __init__(self) -> None:
         self.buffer = bytearray()
-        self.searched_bytes = 0  # bytes at the start of the buffer that contain no end of a head
+        self.searched_bytes = 0  # bytes at the start of the buffer that contain no end of a head or trailers
 
     def _take_head(self) -> bytes | None:
         end = self.buffer.find(b"\r\n\r\n", max(0, self.searched_bytes - 3))
@@ -275,11 +275,14 @@
                 del self.buffer[: self.left + 2]
                 self.left = None
             else:  # the trailers, which are discarded, and the empty line that ends them
-                end = 0 if self.buffer[:2] == b"\r\n" else self.buffer.find(b"\r\n\r\n")
+                start = max(0, self.searched_bytes - 3)
+                end = 0 if self.buffer[:2] == b"\r\n" else self.buffer.find(b"\r\n\r\n", start)
                 if end < 0:
                     if len(self.buffer) > MAX_HEAD_BYTES:
                         raise HttpError(431, "trailers too large")
+                    self.searched_bytes = len(self.buffer)
                     return False
+                self.searched_bytes = 0
                 del self.buffer[: end + (2 if end == 0 else 4)]
                 self.left = None
                 return True
--- a/wickgw/net/worker_connection.py
+++ b/wickgw/net/worker_connection.py
@@ -192,13 +192,18 @@
         if self.head is None or self.head.status != 200:
             return
         self.line_buffer += data
+        if b"\n" in data:  # what was buffered before has no line end and is not searched for each piece
+            self._handle_lines()
+        if len(self.line_buffer) > MAX_EVENT_BYTES:
+            raise ValueError("job event too long")
+
+    def _handle_lines(self) -> None:
+        """Handle the complete lines in the buffer."""
         while (end := self.line_buffer.find(b"\n")) >= 0:
             line = bytes(self.line_buffer[:end])
             del self.line_buffer[: end + 1]
             if line.strip():
                 self._handle_event(line)
-        if len(self.line_buffer) > MAX_EVENT_BYTES:
-            raise ValueError("job event too long")
 
     def _handle_event(self, line: bytes) -> None:
         """Handle a job event.
