--- a/wickgw/start.py
+++ b/wickgw/start.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import faulthandler
 import gc
 import os
 import signal
@@ -58,6 +59,7 @@
 
     The status is 2 if the configuration is invalid; one line on standard error gives the reason.
     """
+    faulthandler.enable()  # on SIGABRT a process that is stuck prints where; its loop could not
     early_signals: list[int] = []
     # Without a handler these signals end the process, which SIGHUP must not do at any time.
     for number in EARLY_SIGNALS:
