Agree on each vote's duration: two served one address while lease_ms was changed

Cause: a holder counted its lease from its own lease_ms, and a voter was bound by its own. Nothing carried or checked that they are equal, which the proof in votes.py needs. The same in a restarted voter: it was quiet, and restored its stored votes, for its new lease_ms, while holders relied on votes of its earlier process. Change: the lease belongs to the vote. Ask says for how long the asker wants to rely on it, the voter is bound for that (1500 ms where an earlier version does not say) and says so in Grant, and a holder counts what a majority has granted (300 ms of an earlier version) and renews by that. A renewal never shortens a vote. Stored votes carry their lease; without them a voter is quiet for 1500 ms. An instance that ends grants 300 ms at most, then nothing, and waits until its votes have run out, so no next process, of whatever version, can give one again that still binds. Fields are added at the end of messages: earlier versions ignore them. group.lease-differs is logged once for each change. Weighed: refusing votes to other settings leaves nobody a majority while one restarts. Two tests had the quiet time of the voter's own lease as their expectation (1.01 s); they now ask for the longest (1.515 s).

--- a/tests/test_address_core.py
+++ b/tests/test_address_core.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import annotated_types
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -10,13 +11,16 @@
 from wickgw.address.coordinator import Coordinator
 from wickgw.address.lease import TRANSITIONS, AddressLease, InvalidTransitionError, Stage, Trigger
 from wickgw.address.membership import Membership, MemberState
-from wickgw.address.messages import Ask, Beat, Deny, Grant, Message, View, Yield
+from wickgw.address.messages import MAX_LEASE_MS, MIN_LEASE_MS, Ask, Beat, Deny, Grant, Message, View, Yield
 from wickgw.address.plan import rank_instances
 from wickgw.address.replay_window import WINDOW_DATAGRAMS, ReplayWindow
 from wickgw.address.votes import Voter
+from wickgw.config.schema import AddressSettings
 
 MEMBERS = ("a", "b", "c")
+LEASE_MS, CLOCK_DRIFT = 1000, 0.01
 VOTER_LEASE_S, HOLDER_LEASE_S = 1.01, 0.99
+LONGEST_VOTER_LEASE_S = 1.515
 
 
 class Instance:
@@ -69,7 +73,7 @@
         """Make the instance the holder. Returns the term."""
         self.wait(0.3, "b", "c")
         ask = self.sent(Ask, self.all_actions)[-1]
-        self.receive("b", Grant("east", ask.term, ask.round, 1_000))
+        self.receive("b", Grant("east", ask.term, ask.round, 1_000, LEASE_MS))
         self.handle(events.AnnounceCompleted("east", ask.term, True))
         assert self.lease.stage is Stage.HELD
         return int(ask.term)
@@ -80,40 +84,40 @@
 
 
 def test_voter_gives_one_vote_per_term_and_terms_only_grow() -> None:
-    voter = Voter(VOTER_LEASE_S)
-    assert voter.request_vote("east", "a", 5, 0.0)
-    assert not voter.request_vote("east", "b", 5, 0.1), "two votes in a term"
-    assert not voter.request_vote("east", "b", 6, 0.1), "the vote is still binding"
-    assert voter.request_vote("east", "a", 5, 0.5), "the holder renews its own"
-    assert not voter.request_vote("east", "b", 6, 1.4)
-    assert voter.request_vote("east", "b", 6, 0.5 + VOTER_LEASE_S)
-    assert not voter.request_vote("east", "a", 5, 9.0), "a vote for a past term"
+    voter = Voter(CLOCK_DRIFT)
+    assert voter.request_vote("east", "a", 5, LEASE_MS, 0.0)
+    assert not voter.request_vote("east", "b", 5, LEASE_MS, 0.1), "two votes in a term"
+    assert not voter.request_vote("east", "b", 6, LEASE_MS, 0.1), "the vote is still binding"
+    assert voter.request_vote("east", "a", 5, LEASE_MS, 0.5), "the holder renews its own"
+    assert not voter.request_vote("east", "b", 6, LEASE_MS, 1.4)
+    assert voter.request_vote("east", "b", 6, LEASE_MS, 0.5 + VOTER_LEASE_S)
+    assert not voter.request_vote("east", "a", 5, LEASE_MS, 9.0), "a vote for a past term"
 
 
 def test_only_the_holder_releases_its_vote_and_a_released_term_is_not_renewed() -> None:
-    voter = Voter(VOTER_LEASE_S)
-    voter.request_vote("east", "a", 5, 0.0)
+    voter = Voter(CLOCK_DRIFT)
+    voter.request_vote("east", "a", 5, LEASE_MS, 0.0)
     voter.release("east", 5, "b")
     voter.release("east", 4, "a")
-    assert not voter.request_vote("east", "b", 6, 0.1)
+    assert not voter.request_vote("east", "b", 6, LEASE_MS, 0.1)
     voter.release("east", 5, "a")
-    assert not voter.request_vote("east", "a", 5, 0.1), "a late request renewed a released vote"
-    assert voter.request_vote("east", "b", 6, 0.1)
+    assert not voter.request_vote("east", "a", 5, LEASE_MS, 0.1), "a late request renewed a released vote"
+    assert voter.request_vote("east", "b", 6, LEASE_MS, 0.1)
 
 
-def test_voter_without_stored_votes_does_not_vote_for_a_whole_lease() -> None:
-    voter = Voter(VOTER_LEASE_S)
+def test_voter_without_stored_votes_does_not_vote_for_the_longest_lease() -> None:
+    voter = Voter(CLOCK_DRIFT)
     voter.restore(None, 10.0)
-    assert not voter.request_vote("east", "a", 5, 10.0 + VOTER_LEASE_S - 0.001)
-    assert voter.request_vote("east", "a", 5, 10.0 + VOTER_LEASE_S)
+    assert not voter.request_vote("east", "a", 5, LEASE_MS, 10.0 + LONGEST_VOTER_LEASE_S - 0.001)
+    assert voter.request_vote("east", "a", 5, LEASE_MS, 10.0 + LONGEST_VOTER_LEASE_S)
 
 
 def test_voter_with_stored_votes_votes_at_once_but_only_for_the_holder() -> None:
-    voter = Voter(VOTER_LEASE_S)
+    voter = Voter(CLOCK_DRIFT)
     voter.restore((events.StoredVote("east", 5, "a", False), events.StoredVote("west", 3, "b", True)), 10.0)
-    assert voter.request_vote("east", "a", 5, 10.0)
-    assert not voter.request_vote("east", "b", 6, 10.5)
-    assert voter.request_vote("west", "c", 4, 10.0)
+    assert voter.request_vote("east", "a", 5, LEASE_MS, 10.0)
+    assert not voter.request_vote("east", "b", 6, LEASE_MS, 10.5)
+    assert voter.request_vote("west", "c", 4, LEASE_MS, 10.0)
 
 
 @settings(derandomize=True, max_examples=300)
@@ -124,29 +128,152 @@
             st.sampled_from("abc"),
             st.integers(1, 4),
             st.floats(0, 0.7),
+            st.sampled_from([300, 1000, 1500]),
         ),
         max_size=40,
     )
 )
-def test_votes_never_bind_to_two_holders(steps: list[tuple[str, str, int, float]]) -> None:
-    """After any sequence of requests, releases and restarts: while a holder may rely on this voter, no other
-    instance is granted a vote."""
-    voter, now = Voter(VOTER_LEASE_S), 0.0
+def test_votes_never_bind_to_two_holders(steps: list[tuple[str, str, int, float, int]]) -> None:
+    """After any sequence of requests, releases and restarts, with votes of any duration: while a holder may
+    rely on this voter, no other instance is granted a vote."""
+    voter, now = Voter(CLOCK_DRIFT), 0.0
     relied_on_until: dict[str, float] = {}
-    for kind, instance, term, wait_s in steps:
+    for kind, instance, term, wait_s, lease_ms in steps:
         now += wait_s
-        if kind == "ask" and voter.request_vote("east", instance, term, now):
+        if kind == "ask" and voter.request_vote("east", instance, term, lease_ms, now):
             others = [other for other, until in relied_on_until.items() if other != instance and until > now]
             assert not others, f"{instance} and {others}"
-            relied_on_until[instance] = now + HOLDER_LEASE_S  # it sent the request now or earlier
+            # It sent the request now or earlier, and may still rely on an earlier vote.
+            lease_end = now + lease_ms / 1000 * (1 - CLOCK_DRIFT)
+            relied_on_until[instance] = max(lease_end, relied_on_until.get(instance, 0.0))
         elif kind == "go" and (vote := voter.votes.get("east")) is not None and vote.holder == instance:
             voter.release("east", vote.term, instance)
             relied_on_until.pop(instance, None)
         elif kind == "restart":
-            voter = Voter(VOTER_LEASE_S)
+            voter = Voter(CLOCK_DRIFT)
             voter.restore(None, now)
 
 
+# Instances whose settings or versions differ, as while an operator restarts one after the other.
+
+
+@pytest.mark.parametrize("own_s, asked_ms", [(0.3, 1500), (1.5, 300), (1.0, 1500), (1.0, 1000)])
+def test_vote_binds_for_as_long_as_its_asker_relies_on_it(own_s: float, asked_ms: int) -> None:
+    """Guards against voters that were free while a holder with a longer lease counted on them: two instances
+    served one address while `lease_ms` was raised (docs/incidents/47-2)."""
+    instance, bound_s = Instance("c", lease_s=own_s), asked_ms / 1000 * (1 + CLOCK_DRIFT)
+    instance.receive("a", Ask("east", 2_000, 1, 0, asked_ms))
+    assert instance.sent(Grant) == [Grant("east", 2_000, 1, 500, asked_ms)]
+    instance.now += bound_s - 0.001
+    instance.receive("b", Ask("east", 3_000, 1, 0, asked_ms))
+    assert instance.sent(Deny) and not instance.sent(Grant)
+    instance.now += 0.002
+    instance.receive("b", Ask("east", 3_001, 1, 0, asked_ms))
+    assert instance.sent(Grant)
+
+
+def test_vote_for_an_asker_that_tells_no_lease_binds_for_the_longest() -> None:
+    """Guards against a holder of an earlier version with a longer lease than ours (docs/incidents/47-2)."""
+    instance = Instance("c", lease_s=0.3)
+    instance.receive("a", Ask("east", 2_000, 1))
+    assert instance.sent(Grant)
+    instance.now += LONGEST_VOTER_LEASE_S - 0.001
+    instance.receive("b", Ask("east", 3_000, 1))
+    assert not instance.sent(Grant)
+
+
+@pytest.mark.parametrize(
+    "granted_ms, lease_s",
+    [
+        ((300,), 0.297),  # the voter binds itself for less than was asked
+        ((0,), 0.297),  # an earlier version, which does not say: the shortest that it may be set to
+        ((300, 1000), 0.99),  # of three voters the two that are bound for longest are a majority
+        ((0, 0), 0.297),
+        ((1500,), 0.99),
+    ],
+)
+def test_holder_relies_on_votes_for_no_longer_than_a_majority_is_bound(
+    granted_ms: tuple[int, ...], lease_s: float
+) -> None:
+    """Guards against a holder that counts a voter's lease from its own settings (docs/incidents/47-2)."""
+    instance = Instance()
+    instance.wait(0.3, "b", "c")
+    ask = instance.sent(Ask, instance.all_actions)[-1]
+    assert ask.lease_ms == LEASE_MS
+    asked_at = instance.lease.asked_at[ask.round]
+    for voter, lease_ms in zip("bc", granted_ms, strict=False):
+        instance.receive(voter, Grant("east", ask.term, ask.round, 1_000, lease_ms))
+    assert instance.lease.expires_at == pytest.approx(asked_at + lease_s)
+
+
+def test_holder_with_short_votes_renews_them_in_time() -> None:
+    """Guards against a holder that asks for renewals by its own lease when its voters' votes are shorter."""
+    instance = Instance()
+    instance.wait(0.3, "b", "c")
+    ask = instance.sent(Ask, instance.all_actions)[-1]
+    instance.receive("b", Grant("east", ask.term, ask.round, 1_000, 300))
+    instance.handle(events.AnnounceCompleted("east", ask.term, True))
+    for _ in range(40):
+        for ask in instance.sent(Ask, instance.wait(0.05, "b", "c"))[::2]:  # one to each of b and c
+            instance.receive("b", Grant("east", ask.term, ask.round, 1_000, 300))
+    assert instance.lease.stage is Stage.HELD
+
+
+def test_renewal_does_not_shorten_a_vote_that_its_holder_relies_on() -> None:
+    voter = Voter(CLOCK_DRIFT)
+    assert voter.request_vote("east", "a", 5, 1500, 0.0)
+    assert voter.request_vote("east", "a", 5, 300, 0.1)
+    assert not voter.request_vote("east", "b", 6, 300, 1.5)
+    assert voter.stored_votes()[0].lease_ms == 1500
+
+
+@pytest.mark.parametrize("stored_ms, bound_s", [(300, 0.303), (1500, 1.515), (None, 1.515)])
+def test_stored_vote_binds_for_its_own_lease(stored_ms: int | None, bound_s: float) -> None:
+    """Guards against a voter restarted with a shorter `lease_ms`; earlier versions stored none."""
+    more = () if stored_ms is None else (stored_ms,)
+    instance = Instance("c", (events.StoredVote("east", 5, "a", False, *more),), lease_s=0.3)
+    instance.now += bound_s - 0.001
+    instance.receive("b", Ask("east", 3_000, 1, 0, 300))
+    assert not instance.sent(Grant)
+    instance.now += 0.002
+    instance.receive("b", Ask("east", 3_001, 1, 0, 300))
+    assert instance.sent(Grant)
+
+
+def test_ending_instance_gives_short_votes_and_then_none_until_all_have_ended() -> None:
+    """Guards against a vote that outlives its process and is forgotten by the next, of whatever version."""
+    instance = Instance("c")
+    instance.handle(events.Resign())
+    instance.receive("b", Ask("east", 2_000, 1))
+    assert instance.sent(Deny), "an asker that tells no lease would rely on it for longer"
+    instance.receive("a", Ask("east", 3_000, 1, 0, 1500))
+    assert instance.sent(Grant) == [Grant("east", 3_000, 1, 500, 300)]
+    voter = instance.coordinator.voter
+    assert voter.bound_for(instance.now) == pytest.approx(0.303)
+    instance.handle(events.VotingStopped())
+    instance.receive("a", Ask("east", 3_000, 2, 0, 1500))
+    assert instance.sent(Deny)
+    instance.now += 0.304
+    assert voter.bound_for(instance.now) == 0
+
+
+def test_bounds_of_the_setting_are_those_of_the_protocol() -> None:
+    constraints = AddressSettings.model_fields["lease_ms"].metadata
+    assert constraints == [annotated_types.Ge(MIN_LEASE_MS), annotated_types.Le(MAX_LEASE_MS)]
+
+
+def test_difference_is_logged_once_for_each_change() -> None:
+    instance = Instance("c")
+    for asked_ms in (1000, 1500, 1500, 0, 1000):
+        instance.receive("a", Ask("east", 2_000, 1, 0, asked_ms))
+    differences = [
+        action.fields["theirs_ms"]
+        for action in instance.all_actions
+        if isinstance(action, events.LogEvent) and action.name == "group.lease-differs"
+    ]
+    assert differences == [1500, "not told: an earlier version"]
+
+
 @pytest.mark.parametrize("stage", Stage)
 @pytest.mark.parametrize("trigger", Trigger)
 def test_transition_that_is_not_in_the_table_is_an_error(stage: Stage, trigger: Trigger) -> None:
@@ -163,7 +290,7 @@
     instance = Instance()
     ask = instance.sent(Ask, instance.wait(0.3, "b", "c"))[-1]
     asked_at, instance.now = instance.lease.asked_at[ask.round], instance.now + 0.02
-    actions = instance.receive("b", Grant("east", ask.term, ask.round, 1_000))
+    actions = instance.receive("b", Grant("east", ask.term, ask.round, 1_000, LEASE_MS))
     (announce,) = [action for action in actions if isinstance(action, events.Announce)]
     assert (
         announce.lease_end == pytest.approx(asked_at + HOLDER_LEASE_S)
@@ -174,8 +301,8 @@
 def test_grant_for_an_earlier_start_or_term_is_ignored() -> None:
     instance = Instance()
     ask = instance.sent(Ask, instance.wait(0.3, "b", "c"))[-1]
-    instance.receive("b", Grant("east", ask.term, ask.round, 999))
-    instance.receive("b", Grant("east", ask.term - 1, ask.round, 1_000))
+    instance.receive("b", Grant("east", ask.term, ask.round, 999, LEASE_MS))
+    instance.receive("b", Grant("east", ask.term - 1, ask.round, 1_000, LEASE_MS))
     assert instance.lease.stage is Stage.ASKING and instance.coordinator.counters["stale answer"] == 2
 
 
@@ -183,7 +310,7 @@
     instance = Instance()
     term = instance.win()
     instance.now += 3.0
-    actions = instance.receive("b", Grant("east", term, instance.lease.round_number, 1_000))
+    actions = instance.receive("b", Grant("east", term, instance.lease.round_number, 1_000, LEASE_MS))
     assert events.Fence("east", term) in actions and instance.lease.stage is Stage.CLEARING
     assert not any(isinstance(action, events.ExtendLease) for action in actions), (
         "a grant renewed an expired lease"
@@ -250,7 +377,7 @@
             instance.wait(0.05, "b", "c")
             assert instance.now < 200.0
         term = instance.sent(Ask, instance.all_actions[count_before:])[-1].term
-        instance.receive("b", Grant("east", term, instance.lease.round_number, 1_000))
+        instance.receive("b", Grant("east", term, instance.lease.round_number, 1_000, LEASE_MS))
         instance.handle(events.AnnounceCompleted("east", term, False, "in use"))
         failures = [
             action
@@ -270,7 +397,7 @@
     )
     while instance.lease.stage is not Stage.ASKING:
         instance.wait(0.05, "c")
-    instance.receive("c", Grant("east", instance.lease.term, instance.lease.round_number, 1_000))
+    instance.receive("c", Grant("east", instance.lease.term, instance.lease.round_number, 1_000, LEASE_MS))
     instance.handle(events.AnnounceCompleted("east", instance.lease.term, True))
 
     def renew(seconds: float, *heartbeat_senders: str) -> list[events.Action]:
@@ -278,7 +405,7 @@
         while instance.now < end:
             actions += instance.wait(0.05, *heartbeat_senders)
             actions += instance.receive(
-                "c", Grant("east", instance.lease.term, instance.lease.round_number, 1_000)
+                "c", Grant("east", instance.lease.term, instance.lease.round_number, 1_000, LEASE_MS)
             )
         return actions
 
--- a/tests/test_address_node.py
+++ b/tests/test_address_node.py
@@ -351,7 +351,7 @@
         while log_path.read_text().count("group.began") < 2:
             assert time.monotonic() < deadline
         lines = [line for line in log_path.read_text().splitlines() if "group.began" in line]
-        assert "quiet_s=1.01" in lines[0] and "quiet_s=0.0" in lines[1]
+        assert "quiet_s=1.515" in lines[0] and "quiet_s=0.0" in lines[1]
         assert instances.wait_for_holder() == holder
         # c can't write its votes: it must log that, go on without a file, and still count for the majority.
         if holder != "c":
--- a/wickgw/address/coordinator.py
+++ b/wickgw/address/coordinator.py
@@ -6,16 +6,28 @@
 new requests in that term. The core reads no clock, draws no random numbers and touches no socket.
 """
 
+import dataclasses
 from collections.abc import Callable
 from typing import Any, ClassVar
 
 from wickgw.address import events
-from wickgw.address.lease import LEASED, AddressLease, Stage, Trigger
+from wickgw.address.lease import LEASED, AddressLease, GrantedVote, Stage, Trigger
 from wickgw.address.membership import Membership, MemberState, StateChange
-from wickgw.address.messages import Ask, Beat, Deny, Grant, Live, Message, Yield
+from wickgw.address.messages import (
+    MIN_LEASE_MS,
+    UNKNOWN_LEASE,
+    Ask,
+    Beat,
+    Deny,
+    Grant,
+    Live,
+    Message,
+    Yield,
+)
 from wickgw.address.plan import rank_instances
-from wickgw.address.votes import Voter
+from wickgw.address.votes import Voter, granted_lease_ms
 
+# Shares of the duration of the votes that a holder has been granted.
 RENEW_INTERVAL_LEASES = 0.25  # between rounds of vote requests
 GIVE_UP_RENEWAL_LEASES = 0.25  # with less left of its lease, a holder stops asking: its voters are free soon
 RANK_DELAY_HEARTBEATS = 0.5  # an instance asks this much later than the one ranked before it
@@ -34,10 +46,13 @@
     def __init__(self, settings: events.Settings, voter: Voter | None = None) -> None:
         self.settings = settings
         self.membership = Membership(settings.instance, settings.members, settings.heartbeat_s)
-        self.voter = voter or Voter(settings.voter_lease_s)
+        self.voter = voter or Voter(settings.clock_drift)
         self.leases = {address.name: self.new_lease(address.name) for address in settings.addresses}
         self.boot = 0  # start time of this instance: Unix microseconds; 0 before Started
-        self.ready, self.resigning = False, False
+        self.ready, self.resigning, self.voting = False, False, True
+        # By member: the durations of the votes that it last asked for and granted, in milliseconds.
+        self.asked_leases: dict[str, int] = {}
+        self.granted_leases: dict[str, int] = {}
         self.next_heartbeat_at = 0.0
         # By address: term, successor, and the time until which the Yield is repeated.
         self.repeated_yields: dict[str, tuple[int, str, float]] = {}
@@ -102,19 +117,13 @@
     ) -> None:
         self._see_term(lease, message.term)
         match message:
-            case Ask(address, term, round_number, released_term):
-                if released_term and (vote := self.voter.votes.get(address)) and vote.term == released_term:
-                    self.voter.release(address, released_term, vote.holder)
-                if self.voter.request_vote(address, sender, term, now):
-                    self._send(sender, Grant(address, term, round_number, sender_boot))
-                else:
-                    left_ms = min(int(self.voter.blocked_for(address, now) * 1000) + 1, 1 << 30)
-                    self._send(
-                        sender,
-                        Deny(address, term, round_number, sender_boot, lease.highest_seen_term, left_ms),
-                    )
-            case Grant(_, term, round_number, asker_boot) if asker_boot == self.boot and term == lease.term:
-                self._on_grant(lease, sender, round_number, now)
+            case Ask():
+                self._on_ask(lease, sender, sender_boot, message, now)
+            case Grant(_, term, round_number, asker_boot, lease_ms) if (
+                asker_boot == self.boot and term == lease.term
+            ):
+                self._compare_lease(sender, "grants", lease_ms, self.granted_leases)
+                self._on_grant(lease, sender, round_number, lease_ms or MIN_LEASE_MS, now)
             case Deny(_, term, _, asker_boot, highest_seen_term) if asker_boot == self.boot:
                 self._see_term(lease, highest_seen_term)
                 if term == lease.term and lease.stage is Stage.ASKING:
@@ -136,6 +145,41 @@
             case _:
                 self._count("stale answer")
 
+    def _on_ask(self, lease: AddressLease, sender: str, sender_boot: int, ask: Ask, now: float) -> None:
+        """Answer a request for a vote with Grant or Deny."""
+        vote = self.voter.votes.get(ask.address)
+        if ask.over and vote and vote.term == ask.over:
+            self.voter.release(ask.address, ask.over, vote.holder)
+        self._compare_lease(sender, "asks", ask.lease_ms, self.asked_leases)
+        lease_ms = self._vote_duration_ms(ask)
+        if lease_ms and self.voter.request_vote(ask.address, sender, ask.term, lease_ms, now):
+            self._send(sender, Grant(ask.address, ask.term, ask.round, sender_boot, lease_ms))
+            return
+        left_ms = min(int(self.voter.blocked_for(ask.address, now) * 1000) + 1, 1 << 30)
+        self._send(
+            sender, Deny(ask.address, ask.term, ask.round, sender_boot, lease.highest_seen_term, left_ms)
+        )
+
+    def _vote_duration_ms(self, ask: Ask) -> int:
+        """Return for how long to vote for the asker; 0 not to vote at all.
+
+        Votes end before this process does: whatever settings and version are started in its place, it can't
+        give a vote again that still binds. So an instance that is ending gives short votes, and then none.
+        """
+        if not self.voting:
+            return 0
+        if self.resigning:
+            return min(ask.lease_ms, MIN_LEASE_MS) if ask.lease_ms != UNKNOWN_LEASE else 0
+        return granted_lease_ms(ask.lease_ms)
+
+    def _compare_lease(self, member: str, told: str, lease_ms: int, last_told: dict[str, int]) -> None:
+        """Log, once for each change, that a member asks for or grants votes of another duration than ours."""
+        ours = self.settings.lease_ms
+        if lease_ms != last_told.get(member, ours) and lease_ms != ours:
+            theirs = lease_ms if lease_ms != UNKNOWN_LEASE else "not told: an earlier version"
+            self._note("group.lease-differs", member=member, told=told, theirs_ms=theirs, ours_ms=ours)
+        last_told[member] = lease_ms
+
     def _on_tick(self, event: events.Tick, now: float) -> None:
         for change in self.membership.tick(now):
             self._log_state_change(change)
@@ -171,7 +215,7 @@
             self.repeated_yields[lease.address] = (
                 lease.term,
                 lease.successor,
-                now + self.settings.voter_lease_s,
+                now + self.voter.binding_s(self.settings.lease_ms),
             )
             lease.ask_not_before = max(lease.ask_not_before, now + PAUSE_AFTER_HANDOVER_S)
         lease.reset()
@@ -182,16 +226,12 @@
     def _on_resign(self, event: events.Resign, now: float) -> None:
         self.resigning = True
 
+    def _on_voting_stopped(self, event: events.VotingStopped, now: float) -> None:
+        self.voting = False
+
     def _on_settings_reloaded(self, event: events.SettingsReloaded, now: float) -> None:
-        self.settings = events.Settings(
-            self.settings.instance,
-            self.settings.members,
-            event.addresses,
-            self.settings.lease_s,
-            self.settings.clock_drift,
-            self.settings.heartbeat_s,
-            event.hold_down_s,
-            self.settings.last_call_s,
+        self.settings = dataclasses.replace(
+            self.settings, addresses=event.addresses, hold_down_s=event.hold_down_s
         )
 
     # Heartbeats.
@@ -280,8 +320,8 @@
                 self._consider_handover(lease, now)
             remaining_s = lease.expires_at - now
             if (
-                now >= lease.last_asked_at + RENEW_INTERVAL_LEASES * self.settings.lease_s
-                and remaining_s > GIVE_UP_RENEWAL_LEASES * self.settings.lease_s
+                now >= lease.last_asked_at + RENEW_INTERVAL_LEASES * lease.duration_s
+                and remaining_s > GIVE_UP_RENEWAL_LEASES * lease.duration_s
             ):
                 self._send_round(lease, now)
             if remaining_s <= self.settings.last_call_s and not lease.last_call_made:
@@ -369,28 +409,31 @@
         """
         lease.reset()
         lease.transition(Trigger.ASK, now)
-        lease.cause = cause
+        lease.cause, lease.duration_s = cause, self.settings.lease_s
         lease.term = lease.highest_seen_term = max(lease.highest_seen_term, lease.term) + 1
         self._send_round(lease, now, released_term)
 
     def _send_round(self, lease: AddressLease, now: float, released_term: int = 0) -> None:
         """Send one round of vote requests, and vote for this instance."""
         round_number = lease.start_round(now)
-        ask = Ask(lease.address, lease.term, round_number, released_term)
+        ask = Ask(lease.address, lease.term, round_number, released_term, self.settings.lease_ms)
         for other in self.membership.others:
             self._send(other, ask)
         if released_term and (vote := self.voter.votes.get(lease.address)) and vote.term == released_term:
             self.voter.release(lease.address, released_term, vote.holder)
-        if self.voter.request_vote(lease.address, self.settings.instance, lease.term, now):
-            self._on_grant(lease, self.settings.instance, round_number, now)
+        lease_ms = granted_lease_ms(ask.lease_ms)
+        if self.voter.request_vote(lease.address, self.settings.instance, lease.term, lease_ms, now):
+            self._on_grant(lease, self.settings.instance, round_number, lease_ms, now)
 
-    def _on_grant(self, lease: AddressLease, voter: str, round_number: int, now: float) -> None:
+    def _on_grant(
+        self, lease: AddressLease, voter: str, round_number: int, lease_ms: int, now: float
+    ) -> None:
+        """Count a vote for this instance, for which its voter is bound for `lease_ms`."""
         if lease.stage is not Stage.ASKING and lease.stage not in LEASED:
             self._count("stale answer")
             return
-        if not lease.add_grant(
-            voter, round_number, self.settings.majority, self.settings.holder_lease_s, now
-        ):
+        vote = GrantedVote(voter, round_number, min(lease_ms / 1000, self.settings.lease_s))
+        if not lease.add_grant(vote, self.settings.majority, self.settings.clock_drift, now):
             return
         if now >= lease.expires_at:  # the grants came too late to be of use
             return
@@ -474,7 +517,7 @@
             elif lease.stage in LEASED:
                 due = min(
                     due,
-                    lease.last_asked_at + RENEW_INTERVAL_LEASES * self.settings.lease_s,
+                    lease.last_asked_at + RENEW_INTERVAL_LEASES * lease.duration_s,
                     lease.expires_at,
                 )
                 if not lease.last_call_made:
@@ -498,6 +541,7 @@
             "able": self.ready,
             "ending": self.resigning,
             "quiet_s": round(max(0.0, self.voter.quiet_until - now), 3),
+            "lease_ms": self.settings.lease_ms,
             "majority": self.settings.majority,
             "incarnation": self.membership.incarnation,
             "refuted": self.membership.refutations,
@@ -514,6 +558,7 @@
                     "stage": lease.stage.value,
                     "term": lease.term,
                     "left_s": round(lease.expires_at - now, 3) if lease.stage in LEASED else None,
+                    "lease_s": lease.duration_s if lease.stage in LEASED else None,
                     "why": "" if lease.stage in LEASED else lease.idle_reason,
                     "vote": self._vote_text(address, now),
                 }
@@ -534,5 +579,6 @@
         events.Withdrawn: _on_withdrawn,
         events.ReadinessChanged: _on_readiness_changed,
         events.Resign: _on_resign,
+        events.VotingStopped: _on_voting_stopped,
         events.SettingsReloaded: _on_settings_reloaded,
     }
--- a/wickgw/address/driver.py
+++ b/wickgw/address/driver.py
@@ -108,6 +108,12 @@
         if self.socket is not None:
             self._handle(events.Resign())
 
+    def stop_voting(self) -> bool:
+        """Give no votes from now on. Returns whether all that were given have run out."""
+        if self.coordinator.voting:
+            self._handle(events.VotingStopped())
+        return not self.coordinator.voter.bound_for(self.clock.boottime())
+
     @property
     def busy(self) -> bool:
         """Whether an address is open here or an announcer run has not finished."""
--- a/wickgw/address/events.py
+++ b/wickgw/address/events.py
@@ -5,10 +5,11 @@
 and carries out the returned actions in the given order.
 """
 
+import math
 from dataclasses import dataclass, field
 from typing import Any
 
-from wickgw.address.messages import Message
+from wickgw.address.messages import MAX_LEASE_MS, Message
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,12 +22,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """The group's settings, equal at all instances except for `instance`."""
+    """The group's settings, equal at all instances except for `instance`.
+
+    While they are being changed, instances may differ in all but `members` (`votes` says why that is safe).
+    """
 
     instance: str  # the name of this instance
     members: tuple[str, ...]  # all instances of the group, including this one
     addresses: tuple[ServiceAddress, ...]
-    lease_s: float = 1.0  # duration of a vote before the allowance for clock drift
+    lease_s: float = 1.0  # duration of the votes that this instance asks for, before the allowance for drift
     clock_drift: float = 0.01  # share by which a clock may run too fast or too slow
     heartbeat_s: float = 0.1  # interval between heartbeats
     # How long a holder must have held an address, and another instance been alive, before the address moves
@@ -40,14 +44,9 @@
         return len(self.members) // 2 + 1
 
     @property
-    def holder_lease_s(self) -> float:
-        """Seconds for which a holder may rely on votes, counted from before the request for them."""
-        return self.lease_s * (1 - self.clock_drift)
-
-    @property
-    def voter_lease_s(self) -> float:
-        """Seconds for which a vote binds its voter, counted from the grant."""
-        return self.lease_s * (1 + self.clock_drift)
+    def lease_ms(self) -> int:
+        """The duration of votes as it is asked for, in whole milliseconds and not shorter than `lease_s`."""
+        return math.ceil(self.lease_s * 1000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +57,7 @@
     term: int
     holder: str
     over: bool  # the holder has released the vote
+    lease_ms: int = MAX_LEASE_MS  # earlier versions did not write it
 
 
 # Events.
@@ -118,6 +118,11 @@
     """The instance is about to stop: hand over all its addresses."""
 
 
+@dataclass(frozen=True, slots=True)
+class VotingStopped:
+    """The process is about to end: give no votes any more, so that those already given run out."""
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsReloaded:
     """New preferences and a new hold-down time after a configuration reload."""
@@ -134,6 +139,7 @@
     | Withdrawn
     | ReadinessChanged
     | Resign
+    | VotingStopped
     | SettingsReloaded
 )
 
--- a/wickgw/address/injected_bugs.py
+++ b/wickgw/address/injected_bugs.py
@@ -52,7 +52,7 @@
     def coordinator(self, settings: events.Settings) -> Coordinator:
         """Return a coordinator with the bug."""
         if self.name == "two-votes":
-            return Coordinator(settings, _DoubleVoter(settings.voter_lease_s))
+            return Coordinator(settings, _DoubleVoter(settings.clock_drift))
         if self.name == "from-answer":
             return _LateStartCoordinator(settings)
         if self.name == "yields-first":
--- a/wickgw/address/lease.py
+++ b/wickgw/address/lease.py
@@ -52,6 +52,15 @@
 LEASED = {Stage.TAKING, Stage.HELD, Stage.RETIRING}  # the lease runs and is renewed
 
 
+@dataclass(frozen=True, slots=True)
+class GrantedVote:
+    """A vote for this instance, as its voter has granted it."""
+
+    voter: str
+    round_number: int
+    duration_s: float  # for which the voter has bound itself, without its allowance for clock drift
+
+
 class InvalidTransitionError(Exception):
     """The table has no transition for this stage and trigger."""
 
@@ -66,9 +75,12 @@
     highest_seen_term: int = 0
     round_number: int = 0  # the latest round of vote requests
     asked_at: dict[int, float] = field(default_factory=dict)  # by round: when the requests were sent
-    granted_by: dict[int, set[str]] = field(default_factory=dict)  # by round: the voters that granted it
+    # By round, for each voter that granted it: the seconds for which the voter has bound itself.
+    granted_by: dict[int, dict[str, float]] = field(default_factory=dict)
     denied_by: set[str] = field(default_factory=set)  # voters that denied the first round
     expires_at: float = float("-inf")  # end of the lease, once won
+    renewed_round: int = 0  # the latest round that a majority has granted
+    duration_s: float = 0.0  # of the votes of that round's majority; before the first, of the votes asked for
     stage_since: float = float("-inf")
     last_asked_at: float = float("-inf")
     last_call_made: bool = False  # pending requests were hurried, and no renewal has arrived since
@@ -93,11 +105,8 @@
     def start_round(self, now: float) -> int:
         """Record that a round of vote requests is sent now. Returns the round's number."""
         self.round_number += 1
-        self.asked_at[self.round_number], self.granted_by[self.round_number], self.last_asked_at = (
-            now,
-            set(),
-            now,
-        )
+        self.asked_at[self.round_number] = self.last_asked_at = now
+        self.granted_by[self.round_number] = {}
         for old_round in [
             round_number
             for round_number in self.asked_at
@@ -106,17 +115,21 @@
             del self.asked_at[old_round], self.granted_by[old_round]
         return self.round_number
 
-    def add_grant(
-        self, voter: str, round_number: int, majority: int, holder_lease_s: float, now: float
-    ) -> bool:
-        """Record a vote. Returns whether a majority now carries the lease further than before."""
-        voters = self.granted_by.get(round_number)
-        if voters is None:
+    def add_grant(self, vote: GrantedVote, majority: int, clock_drift: float, now: float) -> bool:
+        """Record a vote. Returns whether a majority now carries the lease further than before.
+
+        The lease lasts as long as a majority of the round's voters is bound, shortened by `clock_drift`.
+        """
+        durations = self.granted_by.get(vote.round_number)
+        if durations is None:
             return False
-        voters.add(voter)
-        if len(voters) < majority:
+        durations[vote.voter] = vote.duration_s
+        if len(durations) < majority:
             return False
-        lease_end = self.lease_start(round_number, now) + holder_lease_s
+        duration_s = sorted(durations.values(), reverse=True)[majority - 1]
+        if vote.round_number >= self.renewed_round:
+            self.renewed_round, self.duration_s = vote.round_number, duration_s
+        lease_end = self.lease_start(vote.round_number, now) + duration_s * (1 - clock_drift)
         extended, self.expires_at = lease_end > self.expires_at, max(lease_end, self.expires_at)
         return extended
 
--- a/wickgw/address/messages.py
+++ b/wickgw/address/messages.py
@@ -2,10 +2,18 @@
 
 Structs are encoded as arrays, so the order of their fields is part of the protocol. Times are durations in
 milliseconds and never clock readings, so no two clocks are compared.
+
+A field is only ever added at the end, with a default that stands for a sender of an earlier version. Earlier
+versions ignore fields that they don't know.
 """
 
 import msgspec
 
+# The bounds of `lease_ms` in every version of this protocol. Where the duration of a vote is not known, the
+# safe one of them is assumed: a voter is bound for the longest, a holder relies on the shortest.
+MIN_LEASE_MS, MAX_LEASE_MS = 300, 1500
+UNKNOWN_LEASE = 0  # from a sender of a version that did not say
+
 
 class View(msgspec.Struct, frozen=True, array_like=True):
     """The sender's view of another instance."""
@@ -42,15 +50,17 @@
     term: int
     round: int
     over: int = 0  # an earlier term, whose holder has sent a Yield to the sender; 0 if there is none
+    lease_ms: int = UNKNOWN_LEASE  # for which the sender wants to rely on the vote
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag="g"):
-    """The sender votes for the asker. The vote binds for a lease from the time of sending."""
+    """The sender votes for the asker. The vote binds for `lease_ms` from the time of sending."""
 
     address: str
     term: int
     round: int
     boot: int  # process start of the asker; the asker ignores an answer to an earlier start
+    lease_ms: int = UNKNOWN_LEASE  # at most what was asked for
 
 
 class Deny(msgspec.Struct, frozen=True, array_like=True, tag="d"):
--- a/wickgw/config/schema.py
+++ b/wickgw/config/schema.py
@@ -119,7 +119,9 @@
     state_file: Path | None = Field(
         None, description="a file on a persistent disk; with it, a restart needs no quiet period"
     )
-    lease_ms: int = Field(1000, ge=300, le=1500, description="the duration of a vote")
+    lease_ms: int = Field(
+        1000, ge=300, le=1500, description="the duration of the votes that this member asks for"
+    )
     beat_ms: int = Field(100, ge=20, le=200, description="the interval between heartbeats")
     clock_drift: float = Field(
         0.01, ge=0.0001, le=0.1, description="the maximum relative error of a clock's rate"
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -280,9 +280,14 @@
         self.loop.call_later(DRAIN_CHECK_INTERVAL_S, self._finish_when_done)
 
     def _finish_when_done(self) -> None:
-        """Finish if no request is unanswered, unwritten or unread; otherwise check again later."""
+        """Finish if no request is unanswered, unwritten or unread; otherwise check again later.
+
+        A voter for service addresses also waits for its votes to run out: the process that is started next
+        may have other settings, or be of a version that does not wait for the votes of this one.
+        """
         self.clients.close_idle()
-        if self.pools.unanswered or self.clients.has_unfinished_work or self.sockets.opening_count:
+        is_serving = self.pools.unanswered or self.clients.has_unfinished_work or self.sockets.opening_count
+        if is_serving or not (self.address_driver is None or self.address_driver.stop_voting()):
             if not self.finished.done():
                 self.loop.call_later(DRAIN_CHECK_INTERVAL_S, self._finish_when_done)
         else:
