Release what a connection has read with its end, not with a later collection or the next job

Callers saw: memory that grew with broken answers of workers, and stayed with every job of size.

Cause, four places that keep bytes from outside though nobody needs them any more: - ResponseParser kept its own bound method, so it and its buffer waited for a garbage collection, which counts objects and not bytes: up to 32 KB each for thousands of closed connections; - a task that opens transports kept its last connection while it waited for the next; - an idle connection to a worker kept the last head and result, up to 80 KB, of 24 KB planned for it; - a pending request kept its job, up to 82 KB, until the last attempt ended, long after its client had left.

Change: the parser refers to its class's methods; the task forgets; head, result and unread line go with the answer; the job goes with the client, after which nothing is written.

--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -359,7 +359,8 @@
         self._discard_if_done(pending)
 
     def _detach_client(self, pending: PendingRequest) -> None:
-        pending.client = None
+        # No attempt is written from now on, and those that were may run for long.
+        pending.client = pending.job = None
         if pending.deadline_timer is not None:
             pending.deadline_timer.cancel()
             pending.deadline_timer = None
--- a/wickgw/net/http.py
+++ b/wickgw/net/http.py
@@ -5,7 +5,7 @@
 """
 
 import re
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -291,7 +291,11 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.parse_step = self._read_head  # the method that parses the next part
+        # The method that parses the next part. Not bound: a parser that refers to itself would keep its
+        # buffer until the next garbage collection, long after its connection is closed.
+        self.parse_step: Callable[[ResponseParser], ResponseHead | EndOfResponse | bytes | None] = (
+            ResponseParser._read_head
+        )
         self.left = 0  # bytes missing of the body or of the current chunk
         self.trailers = 0  # trailer lines so far
         self.keep_alive = True
@@ -299,18 +303,18 @@
     @property
     def is_between_responses(self) -> bool:
         """Whether no response has begun."""
-        return self.parse_step == self._read_head and not self.buffer
+        return self.parse_step is ResponseParser._read_head and not self.buffer
 
     def feed(self, data: bytes) -> Iterator[ResponseHead | bytes | EndOfResponse]:
         """Yield the parts that the bytes complete. Parts before an error are yielded before it is raised."""
         self.buffer += data
-        while (part := self.parse_step()) is not None:
+        while (part := self.parse_step(self)) is not None:
             if part != b"":
                 yield part
 
     def eof(self) -> EndOfResponse | None:
         """Handle the end of the connection: return the end of the response, or None if it was cut off."""
-        return EndOfResponse(False) if self.parse_step == self._read_until_close else None
+        return EndOfResponse(False) if self.parse_step is ResponseParser._read_until_close else None
 
     def _read_head(self) -> ResponseHead | EndOfResponse | bytes | None:
         raw = self._take_head()
@@ -327,18 +331,18 @@
         if coding is not None:
             if length is not None or coding.strip().lower() != "chunked":
                 raise HttpError(502, "ambiguous framing")
-            self.parse_step = self._read_chunk_line
+            self.parse_step = ResponseParser._read_chunk_line
         elif status in (204, 304):
-            self.left, self.parse_step = 0, self._read_length
+            self.left, self.parse_step = 0, ResponseParser._read_length
         elif length is not None:
-            self.left, self.parse_step = length, self._read_length
+            self.left, self.parse_step = length, ResponseParser._read_length
         else:
-            self.keep_alive, self.parse_step = False, self._read_until_close
+            self.keep_alive, self.parse_step = False, ResponseParser._read_until_close
         return head
 
     def _read_length(self) -> bytes | EndOfResponse | None:
         if not self.left:
-            self.parse_step = self._read_head
+            self.parse_step = ResponseParser._read_head
             return EndOfResponse(self.keep_alive)
         return self._take_body()
 
@@ -369,7 +373,7 @@
         self.left, self.trailers = int(match[1], 16), 0
         del match  # it refers to the buffer
         del self.buffer[: end + 2]
-        self.parse_step = self._read_chunk if self.left else self._read_trailer
+        self.parse_step = ResponseParser._read_chunk if self.left else ResponseParser._read_trailer
         return b""
 
     def _read_chunk(self) -> bytes | None:
@@ -380,7 +384,7 @@
         if not self.buffer.startswith(b"\r\n"):
             raise HttpError(502, "chunk longer than its size")
         del self.buffer[:2]
-        self.parse_step = self._read_chunk_line
+        self.parse_step = ResponseParser._read_chunk_line
         return b""
 
     def _read_trailer(self) -> bytes | EndOfResponse | None:
@@ -393,7 +397,7 @@
             raise HttpError(502, "too many trailers")
         if end:
             return b""
-        self.parse_step = self._read_head
+        self.parse_step = ResponseParser._read_head
         return EndOfResponse(self.keep_alive)
 
 
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -182,6 +182,7 @@
                 connection.open_failed()
             finally:
                 self.opening_count -= 1
+                del sock, connection  # while this task waits, it must not keep them, with what they hold
 
     def close(self) -> None:
         """Stop the tasks and close the sockets that wait for a transport."""
--- a/wickgw/net/worker_connection.py
+++ b/wickgw/net/worker_connection.py
@@ -146,8 +146,8 @@
             if self.attempt is not None:  # not already cancelled with its request
                 self.attempt.abandon(i.Verdict.NOT_SENT)
             return
-        self.head, self.final_result, self.body_bytes, self.request_sent = None, None, 0, False
-        self.line_buffer.clear()
+        self._release_answer()
+        self.body_bytes, self.request_sent = 0, False
         self.request_started = True
         self.owner.waiting_attempts.discard(self.attempt)
         self.transport.write(self.attempt.encode_request())
@@ -263,10 +263,16 @@
             self._quarantine_or_reuse(attempt_result)
         else:
             self.drop()
+        self._release_answer()
         if attempt is not None:
             attempt.connection = None
             attempt.finish(attempt_result.verdict, attempt_result.result)
 
+    def _release_answer(self) -> None:
+        """Release what was read of an answer: an idle connection holds no data."""
+        self.head = self.final_result = None
+        self.line_buffer.clear()
+
     def _quarantine_or_reuse(self, attempt_result: AttemptResult) -> None:
         """Make the connection available for another attempt, at once or after a quarantine.
 
