Bound the worker list and what is remembered of it in bytes: names and labels filled the memory

Callers saw (by plays, a real process at 64 MB): discovery that lists workers with names and labels of 10 KB, each gone with the next change, 85 MB after 3,000 changes; ever more workers of that kind, 52 MB and growing.

Cause, on the way of a list: nothing bounds the list but 4 MB an answer, so changes add up; departed workers are bounded by number (4,096) with names of any length; machine types are never forgotten; an answer was held twice. The cause of the caches again: entries are counted where somebody else chooses the size.

Drains and departures are always taken. Departed workers: 1.6 MB. Types of no current row are forgotten beyond 64 KB. Zone and group have 64 bits. The answer is parsed where it was read.

Tests in test_worker_list, test_start_times, test_learning and two plays, all seen to fail before. Sockets.set_listed_workers is set_list_bytes now; its test passes the same memory.

--- a/tests/memory_plays.py
+++ b/tests/memory_plays.py
@@ -292,6 +292,33 @@
     )
 
 
+def passing_workers(folder: Path, count: int, mark: int) -> Play:
+    """Discovery that lists workers with names and labels of 10 KB, each gone with the next change."""
+
+    def entry(number: int, state: str) -> dict[str, object]:
+        labels = {"az": f"z{number}" * 1000, "model": f"m{number}" * 2000}
+        return {"uid": f"w{number}" * 2000, "endpoint": "127.0.0.1:1", "state": state, "boot_ms": 0} | labels
+
+    return with_discovery(
+        folder,
+        count,
+        mark,
+        lambda n: list_answer(n + 2, entry(n, "ready"), *([entry(n - 1, "gone")] if n else [])),
+    )
+
+
+def staying_workers(folder: Path, count: int, mark: int) -> Play:
+    """Discovery that lists ever more workers, each with a name of 10 KB."""
+    return with_discovery(
+        folder,
+        count,
+        mark,
+        lambda n: list_answer(
+            n + 2, {"uid": f"w{n}" * 2000, "endpoint": "127.0.0.1:1", "az": "east", "state": "draining"}
+        ),
+    )
+
+
 PLAYS: dict[str, Callable[[Path, int, int], Play]] = {
     play.__name__: play
     for play in (
@@ -301,6 +328,8 @@
         short_fields,
         served_answers,
         noted_lists,
+        passing_workers,
+        staying_workers,
     )
 }
 
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -11,7 +11,7 @@
 
 from wickgw import balance
 from wickgw import interface as i
-from wickgw.records import Attempt
+from wickgw.records import Attempt, RunTimes
 
 ONE_CLASS = i.Settings(classes=(SAFE,), reports_start=True)
 
@@ -250,3 +250,18 @@
 """
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, timeout=20)
     assert done.stdout.decode().strip() == "[]"
+
+
+def test_machine_types_are_remembered_within_a_bound_in_bytes() -> None:
+    """Guards against types that come with each new list and never leave (docs/incidents/51-3)."""
+    run_times, rows = RunTimes([1.0]), 4
+    for number in range(5_000):
+        run_times.add_worker(number % rows, f"type {number} " + "x" * 1_000)
+        run_times.observe_run(0, 2.0 + number, number % rows)
+    assert sum(map(len, run_times._type_numbers)) <= RunTimes.MAX_TYPE_BYTES
+    assert len(run_times._type_slowness) <= RunTimes.MAX_TYPE_BYTES // 1_000
+    # The types of current rows are kept, and a new one starts without what was learned of another.
+    run_times.add_worker(8, "type 4999 " + "x" * 1_000)
+    assert run_times.log_slowness(8) == run_times._type_slowness[run_times._worker_types[3]] > 0
+    run_times.add_worker(9, "new")
+    assert run_times.log_slowness(9) == 0.0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,6 +15,7 @@
 from wickgw.net.attempt import Job
 from wickgw.net.dispatch import Answer, AnswerKind, PendingRequest
 from wickgw.net.sockets import BASE_MEMORY_MB, RESERVED_DESCRIPTORS, Connection, Sockets
+from wickgw.net.worker_list import LISTED_WORKER_BYTES
 
 SCENES: dict[str, str] = {
     # Requests that succeed.
@@ -768,7 +769,7 @@
 def test_memory_of_a_long_list_is_not_available_for_connections() -> None:
     async def limits(workers: int) -> tuple[int, int]:
         sockets = Sockets(asyncio.get_running_loop(), 1024, 56)
-        sockets.set_listed_workers(workers)
+        sockets.set_list_bytes(workers * LISTED_WORKER_BYTES)
         sockets.close()
         return sockets.max_client_connections, sockets.max_worker_connections
 
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -11,7 +11,13 @@
 from wickgw.config.relay import open_sockets, read_config
 from wickgw.emulator.discovery import EmulatedDiscovery
 from wickgw.emulator.serve_process import platform_settings
-from wickgw.net.start_times import MAX_DEPARTED_WORKERS, REPORT_DELAY_S, Start, StartTimes
+from wickgw.net.start_times import (
+    MAX_DEPARTED_BYTES,
+    MAX_DEPARTED_WORKERS,
+    REPORT_DELAY_S,
+    Start,
+    StartTimes,
+)
 from wickgw.node import Node
 
 WARM_AFTER_S = 20.0  # as in `platform_settings`
@@ -122,3 +128,17 @@
     assert len(starts._departed) == MAX_DEPARTED_WORKERS and not starts._listed
     kept = [worker for worker in (*many, "left") if worker in starts._departed]
     assert counted_from_times(starts_of(starts, 10_002.0, **{kept[0]: many[kept[0]]})) == [many[kept[0]]]
+
+
+def test_departed_workers_are_remembered_within_a_bound_in_bytes() -> None:
+    """Guards against long names of workers that come and go (docs/incidents/51-3)."""
+    starts, size = StartTimes(), 100_000
+    for number in range(100):
+        name = f"{number:04}" * (size // 4)
+        starts.accept(False, {name: Start(1.0, 1.0)}, ())
+        starts.accept(False, {}, [name])
+        assert sum(map(len, starts._departed)) <= MAX_DEPARTED_BYTES
+    assert name in starts._departed and len(starts._departed) == MAX_DEPARTED_BYTES // (size + 400)
+    starts.accept(False, {"short": Start(2.0, 2.0)}, ())
+    starts.accept(False, {}, ["short"])
+    assert counted_from_times(starts_of(starts, 10_000.0, short=2.0)) == [2.0]
--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -6,7 +6,7 @@
 from scenario import Scenario
 
 from wickgw.net.dispatch import Clock
-from wickgw.net.worker_list import ENTRIES_PER_STEP, ListError, ListReader
+from wickgw.net.worker_list import ENTRIES_PER_STEP, LISTED_WORKER_BYTES, ListError, ListReader
 
 
 def entries(count: int, endpoint: str = "127.0.0.1:7070") -> list[dict[str, object]]:
@@ -45,6 +45,54 @@
         assert parser.parse_some() and len(parser.message().targets) == count
 
 
+def read(reader: ListReader, whole: bool, *targets: dict[str, object]) -> list[str]:
+    """Read and accept an answer; return the names of the workers that are listed from then on."""
+    message = reader.decode({"rev": 1, "all": whole, "targets": list(targets)})
+    reader.accept(message)
+    listed = [target for target in message.targets if target.entry.worker in reader.start_times]
+    assert reader.list_bytes == sum(map(reader.size_of, reader.start_times._listed)) <= reader.max_list_bytes
+    assert sum(target.listed_bytes for target in listed) <= reader.list_bytes
+    return list(reader.start_times._listed)
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_workers_beyond_the_memory_of_the_list_are_left_out(whole: bool) -> None:
+    """Guards against a list that takes whatever memory discovery fills (docs/incidents/51-3)."""
+    reader, all_entries = ListReader(Clock(), ("atlanta",)), entries(ENTRIES_PER_STEP * 2)
+    reader.max_list_bytes = 100 * LISTED_WORKER_BYTES
+    read(reader, True)
+    assert read(reader, whole, *all_entries) == [entry["uid"] for entry in all_entries[:100]]
+    assert (
+        reader.decode({"rev": 1, "all": whole, "targets": all_entries}).left_out == ENTRIES_PER_STEP * 2 - 100
+    )
+    # What leaves makes room, in the order of the answer.
+    gone = [entry | {"state": "gone"} for entry in all_entries[:10]]
+    assert len(read(reader, False, *gone, *all_entries[200:])) == 100
+
+
+@pytest.mark.parametrize("label", ["uid", "az", "model"])
+def test_long_names_and_labels_count_towards_the_memory_of_the_list(label: str) -> None:
+    """Guards against few workers with names or labels of megabytes (docs/incidents/51-3)."""
+    reader = ListReader(Clock(), ("atlanta",))
+    reader.max_list_bytes = 1_000_000
+    long_entries = [entry | {label: f"{number}" * 20_000} for number, entry in enumerate(entries(30))]
+    listed = read(reader, True, *entries(2), *long_entries[2:])
+    assert 2 + 5 <= len(listed) < 2 + 1_000_000 / 3 / 20_000
+    # A worker whose entry grows beyond the memory leaves the list; a drain of one that stays is still told.
+    drained = entries(2)[0] | {"state": "draining"}
+    names = read(reader, False, entries(2)[1] | {"model": "m" * 400_000}, drained)
+    assert "s-0000" in names and "s-0001" not in names
+    assert reader.list_bytes == sum(map(reader.size_of, names))
+
+
+@pytest.mark.parametrize("field", ["az", "pod_group"])
+def test_integer_beyond_64_bits_is_an_error(field: str) -> None:
+    with pytest.raises(ListError):
+        ListReader(Clock(), ()).decode(
+            {"rev": 1, "all": True, "targets": [entries(1)[0] | {field: 10**1000}]}
+        )
+
+
 ENTRY = b'{"uid":"s-1","endpoint":"127.0.0.1:7070","az":%s,"state":"ready","boot_ms":0}'
 
 
--- a/wickgw/net/discovery.py
+++ b/wickgw/net/discovery.py
@@ -22,7 +22,7 @@
 from wickgw.observe import get_logger
 
 log = get_logger("wickgw")
-MAX_LIST_BYTES = 4 << 20
+MAX_ANSWER_BYTES = 4 << 20  # of one answer
 # Consecutive whole lists of an older version after which discovery counts as having lost its state.
 OLDER_LISTS_BEFORE_RESET = 5
 
@@ -47,7 +47,7 @@
 
     def call(self, target: str, host: str) -> None:
         """Send a call. Its answer goes to `Discovery.on_answer`."""
-        self.body.clear()
+        self.body = bytearray()
         if self.transport is not None:
             self.transport.write(http.encode_request("GET", target, {"Host": host}))
 
@@ -61,7 +61,7 @@
                     self._response_complete(part.keep_alive)
                 else:
                     self.body += part
-                    if len(self.body) > MAX_LIST_BYTES:
+                    if len(self.body) > MAX_ANSWER_BYTES:
                         raise http.HttpError(502, "list too long")
         except (http.HttpError, ListError) as error:
             self.discovery.on_failure(self, str(error)[:200])
@@ -69,7 +69,8 @@
     def _response_complete(self, keep_alive: bool) -> None:
         if self.head is None or self.head.status != 200:
             raise ListError(f"status {self.head.status if self.head else 0}")
-        self.discovery.on_answer(self, bytes(self.body), keep_alive)
+        body, self.body = self.body, bytearray()
+        self.discovery.on_answer(self, body, keep_alive)
 
     def eof_received(self) -> bool:
         """Handle the close by discovery: the end of a list without a length, or a lost connection."""
@@ -204,7 +205,7 @@
             f"/api/targets?index={self.version}&wait={round(call.wait * 1000)}", self.address
         )
 
-    def on_answer(self, connection: DiscoveryConnection, body: bytes, keep_alive: bool) -> None:
+    def on_answer(self, connection: DiscoveryConnection, body: bytearray, keep_alive: bool) -> None:
         """Read a list or changes, apply them, then send the next call at once.
 
         A long list is read over several turns of the loop, a short one in this call. Raises ListError.
@@ -253,6 +254,8 @@
         if not whole and self.version is None:
             raise ListError("changes to a list never given")
         self.reader.accept(message)
+        if message.left_out:
+            log.warning("discovery.list-too-large", left_out=message.left_out, of=len(targets))
         self.reader.start_times.list_answered(self.loop.time())
         self.failures = self.older_lists = 0
         self.immediate_retries_left, self.may_have_missed_updates = IMMEDIATE_RETRIES, False
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -16,7 +16,8 @@
 log = get_logger("wickgw")
 RESERVED_DESCRIPTORS = 24  # for the listener, discovery, the event loop, logs and imports
 BASE_MEMORY_MB = 36  # of the process without connections: 28 MB and a margin
-LISTED_WORKER_BYTES = 2000  # per worker of the list: 1.7 KB with 200 to 3,200 workers, and a margin
+LIST_SHARE = 0.5  # of the memory beyond `BASE_MEMORY_MB`, for the worker list at most
+MIN_LIST_BYTES = 1_000_000  # for the worker list, however little memory there is
 OPENER_TASKS = 4  # per side: opening a transport takes several turns of the loop, and others queue up
 # Tasks for clients, for workers and discovery, and for the management port: a flood on one side must not
 # delay another.
@@ -111,7 +112,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: int, memory_mb: float) -> None:
         self.loop = loop
-        self.listed_workers = 0  # number of workers in the list
+        self.list_bytes = 0  # memory of the worker list
         self.set_limits(descriptors, memory_mb)
         self.opening_count = 0  # sockets without a transport yet
         self.pools: list[PoolConnections] = []
@@ -134,7 +135,9 @@
         self.max_callers = max(4, min(16, max_descriptors // 32))
         available = max_descriptors - min(RESERVED_DESCRIPTORS, max_descriptors // 3) - self.max_callers
         clients, workers = available * CLIENT_SHARE, available * (1 - CLIENT_SHARE)
-        available_bytes = (memory_mb - BASE_MEMORY_MB) * 1e6 - self.listed_workers * LISTED_WORKER_BYTES
+        unreserved_bytes = (memory_mb - BASE_MEMORY_MB) * 1e6
+        self.max_list_bytes = max(MIN_LIST_BYTES, int(unreserved_bytes * LIST_SHARE))
+        available_bytes = unreserved_bytes - self.list_bytes
         fitting_share = min(
             1.0,
             max(0.0, available_bytes)
@@ -145,10 +148,10 @@
             max(8, int(workers * fitting_share)),
         )
 
-    def set_listed_workers(self, workers: int) -> None:
-        """Set the number of listed workers, whose memory is not available for connections."""
-        if workers != self.listed_workers:
-            self.listed_workers = workers
+    def set_list_bytes(self, list_bytes: int) -> None:
+        """Set the memory of the worker list, which is not available for connections."""
+        if list_bytes != self.list_bytes:
+            self.list_bytes = list_bytes
             self.set_limits(self.descriptors, self.memory_mb)
 
     def available_for(self, side: "PoolConnections") -> int:
--- a/wickgw/net/start_times.py
+++ b/wickgw/net/start_times.py
@@ -6,12 +6,15 @@
 report. Only the starts in the first list depend on the wall clock alone.
 """
 
+import sys
 from collections import OrderedDict
 from collections.abc import Iterable
 from typing import NamedTuple
 
 REPORT_DELAY_S = 6.0  # within which discovery reports a start to its watchers, by the platform's rules
 MAX_DEPARTED_WORKERS = 4096  # remembered after they left: one that returns without a restart is not cold
+MAX_DEPARTED_BYTES = 1_600_000  # of these, with their names
+DEPARTED_WORKER_BYTES = 300  # of one, without its name
 
 
 class Start(NamedTuple):
@@ -28,6 +31,11 @@
         self.last_answer_at: float | None = None  # when discovery last sent the list; None: not yet
         self._listed: dict[str, Start] = {}
         self._departed: OrderedDict[str, Start] = OrderedDict()
+        self._departed_bytes = 0
+
+    def __contains__(self, worker: str) -> bool:
+        """Return whether a worker is listed."""
+        return worker in self._listed
 
     def __len__(self) -> int:
         """Return the number of listed workers."""
@@ -68,7 +76,18 @@
         self.last_answer_at = now
 
     def _remember_departed(self, worker: str, start: Start) -> None:
+        """Remember a worker, and forget those that left first while there are too many or too large ones."""
+        self._forget_departed(worker)
         self._departed[worker] = start
-        self._departed.move_to_end(worker)
-        if len(self._departed) > MAX_DEPARTED_WORKERS:
-            self._departed.popitem(last=False)
+        self._departed_bytes += _departed_bytes(worker)
+        while len(self._departed) > MAX_DEPARTED_WORKERS or self._departed_bytes > MAX_DEPARTED_BYTES:
+            self._forget_departed(next(iter(self._departed)))
+
+    def _forget_departed(self, worker: str) -> None:
+        if self._departed.pop(worker, None) is not None:
+            self._departed_bytes -= _departed_bytes(worker)
+
+
+def _departed_bytes(worker: str) -> int:
+    """Return the memory that a departed worker takes."""
+    return DEPARTED_WORKER_BYTES + sys.getsizeof(worker)
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -63,6 +63,7 @@
         self.pools = Pools(config, loop, clock, self.sockets, table, zone_header, subsetting)
         self.clients = Clients(loop, self.sockets, self.pools, config.settings, self.report)
         reader = ListReader(clock, config.settings.zones)
+        reader.max_list_bytes = self.sockets.max_list_bytes
         settings = config.settings
         self.discovery = Discovery(
             loop,
@@ -153,7 +154,7 @@
             merged = {target.entry.worker: target for target in (*initial_targets, *targets)}
             kind = i.ListKind.REPLACE
             targets = [target for target in merged.values() if target.entry.health is not i.Health.GONE]
-        self.sockets.set_listed_workers(len(self.discovery.reader.start_times))
+        self.sockets.set_list_bytes(self.discovery.reader.list_bytes)
         self.pools.on_update(kind, targets)
         self.clients.ready = True
 
@@ -186,6 +187,7 @@
             log.warning("reload.partly", not_taken="name, listen or settings", until="the next start")
         self.config = applied
         self.sockets.set_limits(new.descriptors, new.memory_mb)
+        self.discovery.reader.max_list_bytes = self.sockets.max_list_bytes
         if new.discovery != old.discovery:
             self.discovery.change_address(new.discovery)
         self.pools.counters["reloads"] += 1
--- a/wickgw/records.py
+++ b/wickgw/records.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 import math
+import sys
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -225,6 +226,8 @@
     """
 
     GAIN, MEAN_GAIN = 0.04, 0.05  # weights of a new observation in the slowness and in the mean
+    # Bytes of machine types that are remembered. Beyond them, types of no current row are forgotten.
+    MAX_TYPE_BYTES = 65_536
 
     def __init__(self, means: list[float]) -> None:
         """`means` are the initial mean running times by class, in seconds."""
@@ -232,6 +235,8 @@
         self.log_median = [math.log(mean) for mean in means]
         self._job_counts = [0] * len(means)
         self._type_numbers: dict[str, int] = {}
+        self._type_bytes = 0  # of the keys of `_type_numbers`
+        self._free_type_numbers: list[int] = []
         self._type_slowness = np.zeros(0)
         self._worker_slowness, self._worker_types = np.zeros(0), np.zeros(0, np.intp)  # by row
 
@@ -241,10 +246,33 @@
             more = max(2 * row, 8) - len(self._worker_slowness)
             self._worker_slowness = np.append(self._worker_slowness, np.zeros(more))
             self._worker_types = np.append(self._worker_types, np.zeros(more, np.intp))
-        number = self._type_numbers.setdefault(machine_type, len(self._type_numbers))
-        if number == len(self._type_slowness):
+        self._worker_slowness[row], self._worker_types[row] = 0.0, self._number_of_type(machine_type)
+
+    def _number_of_type(self, machine_type: str) -> int:
+        """Return the number of a machine type, a new one if it is not known."""
+        number = self._type_numbers.get(machine_type)
+        if number is not None:
+            return number
+        self._type_bytes += sys.getsizeof(machine_type)
+        if self._type_bytes > self.MAX_TYPE_BYTES:
+            self._forget_unused_types()
+        if self._free_type_numbers:
+            number = self._free_type_numbers.pop()
+            self._type_slowness[number] = 0.0
+        else:
+            number = len(self._type_slowness)
             self._type_slowness = np.append(self._type_slowness, 0.0)
-        self._worker_slowness[row], self._worker_types[row] = 0.0, number
+        self._type_numbers[machine_type] = number
+        return number
+
+    def _forget_unused_types(self) -> None:
+        """Forget the machine types of no row, so that their numbers can be used again."""
+        used = set(self._worker_types.tolist())
+        for machine_type, number in list(self._type_numbers.items()):
+            if number not in used:
+                del self._type_numbers[machine_type]
+                self._type_bytes -= sys.getsizeof(machine_type)
+                self._free_type_numbers.append(number)
 
     def log_slowness(self, row: int) -> float:
         """Return the slowness of one worker."""
