--- a/wickgw/address/driver.py
+++ b/wickgw/address/driver.py
@@ -349,7 +349,12 @@
             if connection.pending is None and not connection.is_closing:
                 connection.fence()
         self.clients.shorten_deadlines(gate, finish_s - ANSWER_MARGIN_S)
-        timer = self.loop.call_later(finish_s, self._close_gate, gate)
+
+        def finish() -> None:
+            self._finish_timers.discard(timer)
+            self._close_gate(gate)
+
+        timer = self.loop.call_later(finish_s, finish)
         self._finish_timers.add(timer)
 
     def _close_gate(self, gate: Gate) -> None:
--- a/wickgw/net/mgmt.py
+++ b/wickgw/net/mgmt.py
@@ -15,7 +15,7 @@
 from wickgw.service import calls as service_calls
 
 log = get_logger("wickgw")
-ACCEPT_PAUSE_S = 0.05  # pause after a failed accept
+ACCEPT_PAUSE_S = 0.05  # pause after a failed accept, or while many callers wait for a transport
 
 
 class Caller(Connection):
@@ -76,7 +76,7 @@
         loop.add_reader(self.sock.fileno(), self._accept)
 
     def _accept(self) -> None:
-        while True:
+        while len(self.callers) < 2 * self.sockets.max_callers:
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -84,13 +84,13 @@
             except OSError as error:
                 # Out of descriptors: retry after a pause, since callers that reach their deadline free some.
                 log.warning("mgmt.accept-failed", error=str(error))
-                self.loop.remove_reader(self.sock.fileno())
-                self._resume_timer = self.loop.call_later(ACCEPT_PAUSE_S, self._resume_accepting)
-                return
+                break
             sock.setblocking(False)
             caller = Caller(self, next(self._numbers))
             self.callers[caller.number] = caller
             self.sockets.open_transport(sock, caller, side="mgmt")
+        self.loop.remove_reader(self.sock.fileno())
+        self._resume_timer = self.loop.call_later(ACCEPT_PAUSE_S, self._resume_accepting)
 
     def _resume_accepting(self) -> None:
         self._resume_timer = None
--- a/wickgw/routing/pattern.py
+++ b/wickgw/routing/pattern.py
@@ -8,7 +8,9 @@
 import re
 from typing import Protocol
 
-MAX_MEMORY_BYTES = 1 << 20  # of one pattern, with the states that RE2 caches while it matches
+# Memory of one pattern, with the states that RE2 caches for the paths that it has read. A pattern gets more
+# than the least only if it needs that by itself, since paths fill whatever there is.
+MIN_MEMORY_BYTES, MAX_MEMORY_BYTES = 1 << 16, 1 << 20
 _DIALECT_DIFFERENCES = (
     (re.compile(r"\{,"), "{,n} is written {0,n}"),
     (re.compile(r"\[:\^?[a-z]+:\]"), "a class such as [:digit:] is written [0-9]"),
@@ -35,12 +37,16 @@
         if difference.search(text):
             raise ValueError(advice)
     options = re2.Options()
-    options.max_mem = MAX_MEMORY_BYTES
+    options.max_mem = MIN_MEMORY_BYTES
     options.never_capture = True
     options.log_errors = False
-    try:
-        compiled: Pattern = re2.compile(text, options)
-    except re2.error as error:
-        reason = error.args[0].decode("utf-8", "replace") if error.args else "too large"
-        raise ValueError(f"{reason}; {NOT_ALLOWED}") from error
-    return compiled
+    while True:
+        try:
+            compiled: Pattern = re2.compile(text, options)
+        except re2.error as error:
+            if options.max_mem < MAX_MEMORY_BYTES:
+                options.max_mem *= 2
+                continue
+            reason = error.args[0].decode("utf-8", "replace") if error.args else "too large"
+            raise ValueError(f"{reason}; {NOT_ALLOWED}") from error
+        return compiled
