Rid the queues' heaps of requests whose clients left

Suspected by reading, then tested: a removed request stayed in two heaps until it came to their head, that is while any earlier one was queued. Clients that hand in and leave could so keep 0.6 KB for each for as long as the longest deadline, without a bound: 3,073 entries after 3,072 clients with one request that stays.

Change: the heaps are rebuilt without removed requests after 1,024 removals more than there are queued requests: 0.6 MB. The order in which requests leave is the same, by due time and ticket; only the look-ahead among the first few may meet more that are still queued.

Result: at most 1,026 entries in the same test, seen to fail before.

--- a/tests/test_bounded_memory.py
+++ b/tests/test_bounded_memory.py
@@ -1,7 +1,13 @@
 """What anyone outside sends does not fill the memory of a dispatcher (docs/incidents/51-3)."""
 
 import asyncio
+import contextlib
 import gc
+import os
+import socket
+import subprocess
+import sys
+import time
 import weakref
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -9,13 +15,16 @@
 
 import memory_plays
 import pytest
+from harness import SAFE, BalancerDriver
 from memory_plays import Play
 from scenario import TIMEOUT_S, Scenario, job_request
 
+from wickgw import interface as i
 from wickgw.net import http
 from wickgw.net.clients import ClientConnection
-from wickgw.net.sockets import BASE_MEMORY_MB, Sockets
+from wickgw.net.sockets import BASE_MEMORY_MB, Connection, Sockets
 from wickgw.net.worker_list import LISTED_WORKER_BYTES
+from wickgw.records import MAX_REMOVED_IN_HEAPS
 
 MESSAGES, MARK = 3000, 1000
 MAX_GROWTH_MB = 2.0  # between the mark and the end, however many messages come
@@ -178,3 +187,62 @@
     # Every connection with a sixth of its full buffers, as they were planned before.
     shares = sockets.max_client_connections * 144 // 6 + sockets.max_worker_connections * 148 // 6
     assert sockets.max_message_bytes * 1.25 >= shares * 1024
+
+
+def test_requests_of_clients_that_left_are_not_kept_in_the_queues() -> None:
+    """Guards against clients that come and leave while a queued request with a long deadline stays."""
+    caller = BalancerDriver(i.Settings(classes=(SAFE,)))
+    caller.arrive("stays")
+    for number in range(3 * MAX_REMOVED_IN_HEAPS):
+        caller.arrive(f"leaves-{number}")
+        caller.feed(i.ClientLeft(f"leaves-{number}"))
+        del caller.requests[f"leaves-{number}"]
+    queues = caller.balancer.queues
+    heaps = [queues._expiries, *(queue.heap for queue in queues.queues.values())]
+    assert len(queues) == 1 and max(map(len, heaps)) <= MAX_REMOVED_IN_HEAPS + 2
+    assert [front.id for _, front in queues.heads()] == ["stays"]
+
+
+def test_callers_of_the_management_port_are_bounded_before_they_have_a_transport() -> None:
+    """Guards against a flood of callers that takes every descriptor before the first is looked at."""
+    scene = Scenario(mgmt=True)
+    try:
+        mgmt = scene.node.mgmt
+        assert mgmt is not None
+        most, seen = 2 * scene.node.sockets.max_callers, list[int]()
+        open_transport = scene.node.sockets.open_transport
+
+        def count_callers(sock: socket.socket, connection: Connection, side: str = "workers") -> None:
+            seen.append(len(mgmt.callers))
+            open_transport(sock, connection, side)
+
+        scene.node.sockets.open_transport = count_callers  # type: ignore[method-assign]
+        with contextlib.ExitStack() as callers:
+            # The loop stands still while they connect, so that all of them wait at once.
+            scene.loop.call_soon_threadsafe(time.sleep, 0.5)
+            for _ in range(3 * most):
+                callers.enter_context(socket.create_connection(mgmt.address, TIMEOUT_S))
+            scene.run_script('m send raw "STATUS\\n"\nm expect ACK serving')
+        assert most >= max(seen) >= most / 2
+    finally:
+        scene.close()
+
+
+def test_paths_do_not_fill_the_memory_of_patterns() -> None:
+    """Guards against states that RE2 keeps for paths of clients, up to a megabyte for each pattern."""
+    code = (
+        "import memory_plays, os, random\n"
+        "from wickgw.routing.pattern import MIN_MEMORY_BYTES, compile_pattern\n"
+        "patterns = [compile_pattern('/x%d/(.*a.{%d}){2}b' % (n, 5 + n % 8)) for n in range(40)]\n"
+        "before, letters = memory_plays.unshared_memory_mb(os.getpid()), random.Random(1)\n"
+        "for _ in range(40):\n"
+        "    for number, pattern in enumerate(patterns):\n"
+        "        pattern.fullmatch(f'/x{number}/' + ''.join(letters.choices('abcdefghij', k=1500)))\n"
+        "grown = memory_plays.unshared_memory_mb(os.getpid()) - before\n"
+        "assert grown <= len(patterns) * MIN_MEMORY_BYTES / 1e6, grown\n"
+    )
+    tests = Path(__file__).parent
+    environ = os.environ | {"PYTHONPATH": f"{tests}:{tests.parent}"}
+    command = [sys.executable, "-c", code]
+    run = subprocess.run(command, env=environ, capture_output=True, text=True, check=False)
+    assert run.returncode == 0, run.stderr
--- a/wickgw/records.py
+++ b/wickgw/records.py
@@ -130,6 +130,8 @@
         return sum(attempt.started_at is not None for attempt in self.attempts)
 
 
+MAX_REMOVED_IN_HEAPS = 1024  # removed requests in the heaps, beyond as many as are queued
+
 QueueKey = tuple[int, float, float, bool]  # class index, worth factor, slots, whether it was attempted before
 
 
@@ -168,6 +170,7 @@
         self.slots_by_class = [0.0] * classes  # slots that the queued requests take
         self._expiries: list[tuple[float, int, Request]] = []  # heap, by `start_by`
         self._tickets = itertools.count()
+        self._removals = 0  # since the heaps were last rid of removed requests
 
     def __len__(self) -> int:
         """Number of queued requests."""
@@ -191,8 +194,18 @@
         request.queue_ticket = -1
         self.count -= 1
         self.slots_by_class[request.class_index] -= request.slots
+        self._removals += 1
+        if self._removals > self.count + MAX_REMOVED_IN_HEAPS:
+            self._compact_heaps()
         return True
 
+    def _compact_heaps(self) -> None:
+        """Rid the heaps of removed requests, which clients that come and leave would fill them with."""
+        self._removals = 0
+        for heap in (self._expiries, *(queue.heap for queue in self.queues.values())):
+            heap[:] = [entry for entry in heap if entry[2].queue_ticket == entry[1]]
+            heapq.heapify(heap)
+
     def next_expiry(self) -> float:
         """Return the earliest `start_by` of the queued requests; infinity if there are none."""
         while self._expiries and self._expiries[0][2].queue_ticket != self._expiries[0][1]:
