--- a/review/8/play2.py
+++ b/review/8/play2.py
@@ -1,68 +1,83 @@
-"""Case 8: over 32 clients reach a dispatcher while it starts again; attempts tell too long a time."""
+"""Case 8: with `finish = before`, a planned restart of an address holder resets jobs in hand."""
 
 import asyncio
-import contextlib
-import os
+import json
 import signal
+import subprocess
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from rig2 import TROUBLE, Client, Head, Rig, free_port, main, make_settings, now
+from rig2 import ROOT, TROUBLE, CannotRunError, Client, Head, Rig, free_port, main, make_settings, now
 
-CLIENTS = 100  # a third of 1,024 descriptors is 341
-CORE_SHARE = 0.4  # of a core: cpu_ms_per_s of the site is 400
-PERIOD_S = 0.02
-DEADLINE_MS = 5000
+INSTANCES = ("n0", "n1", "n2")
+CLIENTS = 12
+DEADLINE_MS = 8000  # of the class
+RUN_S, HANG_S = 0.9, 60.0
+HELD_WITHIN_S = 15.0
 
 
 def run_s(head: Head) -> float:
-    """Return the running time of a job."""
-    return 0.2
+    """Return the running time of a job at a sound label worker."""
+    return RUN_S
 
 
-async def share_core(pid: int) -> None:
-    """Let a process run for its share of a core: stop it for the rest of each short period."""
-    with contextlib.suppress(ProcessLookupError):
-        while True:
-            os.kill(pid, signal.SIGSTOP)
-            await asyncio.sleep(PERIOD_S * (1 - CORE_SHARE))
-            os.kill(pid, signal.SIGCONT)
-            await asyncio.sleep(PERIOD_S * CORE_SHARE)
+def hang_s(head: Head) -> float:
+    """Return the running time of a job at a label worker that hangs through the whole of the shutdown."""
+    return HANG_S
+
+
+def write_ini(rig: Rig, address: int) -> Path:
+    """Write the operator's file, the same for all instances, and the key that it names."""
+    folder = Path(rig.temporary.name)
+    key = folder / "address.key"
+    subprocess.run(
+        [ROOT / ".venv/bin/python", "-m", "wickgw", "address", "new-key", str(key)],
+        cwd=ROOT,
+        check=True,
+        stdout=subprocess.DEVNULL,
+    )
+    members = [f"    {name}=127.0.0.1:{free_port()}" for name in INSTANCES]
+    lines = ["[address]", "enabled = yes", "members =", *members, f"key_file = {key}", ""]
+    lines += ["[address:labels]", f"at = 127.0.0.1:{address}", "prefer = n0", "finish = before", ""]
+    path = folder / "wickgw.ini"
+    path.write_text("\n".join(lines))
+    return path
+
+
+async def until_held(rig: Rig, port: int) -> None:
+    """Wait until the instance at `port` serves the address."""
+    deadline = now() + HELD_WITHIN_S
+    while now() < deadline:
+        _, body = await rig.read_page(port, "/-/address")
+        if body and json.loads(body)["addresses"]["labels"]["stage"] == "held":
+            rig.note("held", port=port)
+            return
+        await asyncio.sleep(0.1)
+    raise CannotRunError("the first instance did not get the address")
 
 
 async def case(rig: Rig) -> list[str]:
-    """Kill the dispatcher, start it again at once, and let its clients come back as soon as it listens."""
-    await rig.add_workers(12, run_s, slots=12)
-    settings, port = make_settings(), free_port()
-    process = rig.launch(settings, "n0", port)
-    await rig.until_ready(process, "n0", port)
+    """Hand in jobs at the service address, and end its holder by SIGTERM while they run."""
+    await rig.add_workers(6, run_s)
+    await rig.add_workers(6, hang_s)
+    settings, address = make_settings(), free_port()
+    ini = write_ini(rig, address)
+    ports = {name: free_port() for name in INSTANCES}
+    started = {name: rig.launch(settings, name, port, ini=ini) for name, port in ports.items()}
+    for name, process in started.items():
+        await rig.until_ready(process, name, ports[name])
+    await until_held(rig, ports["n0"])
+    clients = [await Client.connect(rig, f"c{number}", address) for number in range(CLIENTS)]
+    jobs = [rig.new_id() for _ in clients]
+    for job, client in zip(jobs, clients, strict=True):
+        client.send(job, "label-create", DEADLINE_MS)
+    await asyncio.sleep(0.3)
     if TROUBLE:
-        rig.signal(process, signal.SIGKILL)
-        process.wait()
-        process = rig.launch(settings, "n0", port)
-    sharing = asyncio.create_task(share_core(process.pid))
-    began = now()
-    while True:  # the first client that gets through; it is one of the crowd
-        try:
-            first = await Client.connect(rig, "c0", port)
-            break
-        except ConnectionRefusedError:
-            if now() > began + 20:
-                raise
-            await asyncio.sleep(0.005)
-    clients = [first]
-    jobs = [rig.new_id() for _ in range(CLIENTS)]
-    first.send(jobs[0], "label-lookup", DEADLINE_MS)
-    for number, job in enumerate(jobs[1:], 1):
-        client = await Client.connect(rig, f"c{number}", port)
-        client.send(job, "label-lookup", DEADLINE_MS)
-        clients.append(client)
-    await asyncio.gather(*(client.answer(job) for job, client in zip(jobs, clients, strict=True)))
-    sharing.cancel()
-    os.kill(process.pid, signal.SIGCONT)
-    return rig.told_too_much()
+        rig.signal(started["n0"], signal.SIGTERM)
+    answers = await asyncio.gather(*(client.answer(job) for job, client in zip(jobs, clients, strict=True)))
+    return rig.lost(dict(zip(jobs, answers, strict=True)))
 
 
 main(__file__, case)
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -428,8 +428,12 @@
         port: int,
         mgmt: int = 0,
         passed: socket.socket | None = None,
+        ini: Path | None = None,
     ) -> subprocess.Popen[bytes]:
-        """Start a dispatcher by the deploy file; a passed socket for clients is its descriptor 7."""
+        """Start a dispatcher by the deploy file; a passed socket for clients is its descriptor 7.
+
+        `ini` is the operator's own file, if there is another than the one in deploy/.
+        """
         config: dict[str, Any] = {
             "name": name,
             "listen": f"127.0.0.1:{port}",
@@ -456,6 +460,8 @@
             "RELAY_CONFIG": str(path),
             "TMPDIR": str(private),
         }
+        if ini is not None:
+            environ["WICKGW_INI"] = str(ini)
         inherited: dict[str, Any] = {}
         if passed is not None:
             environ["RELAY_PASSED_SOCKET"] = str(PASSED_DESCRIPTOR)
