Let the review's cases end their dispatchers however they end themselves

Cause: a script that is stopped or killed left its dispatchers; an error of a script counted as a broken rule. Change: dispatchers get the signal of a parent's death; any error gives exit status 2. Measured: case 8 stopped by SIGTERM and killed by SIGKILL, once each, left none.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import logging
 import math
@@ -30,6 +31,7 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 SLACK_S = 0.05  # by which the protocol page lengthens every time limit on sockets
 READY_S = 30.0
+LIBC, PR_SET_PDEATHSIG = ctypes.CDLL(None), 1
 PASSED_DESCRIPTOR = 7  # as which a process inherits the clients' listening socket
 LATE_S = 0.5  # after its time a request only earns nothing; later, or never answered, it is lost
 TOLD_SLACK_S = 0.15  # by which an attempt may tell more than what is left to the client
@@ -462,14 +464,17 @@
         }
         if ini is not None:
             environ["WICKGW_INI"] = str(ini)
-        inherited: dict[str, Any] = {}
+        source = passed.fileno() if passed is not None else -1
+        inherited: tuple[int, ...] = ()
         if passed is not None:
             environ["RELAY_PASSED_SOCKET"] = str(PASSED_DESCRIPTOR)
-            source = passed.fileno()
-            inherited = {
-                "pass_fds": (PASSED_DESCRIPTOR,),
-                "preexec_fn": lambda: os.dup2(source, PASSED_DESCRIPTOR) and None,
-            }
+            inherited = (PASSED_DESCRIPTOR,)
+
+        def prepare() -> None:
+            LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)  # it ends with the script, however that ends
+            if source >= 0:
+                os.dup2(source, PASSED_DESCRIPTOR)
+
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         log = open(Path(self.temporary.name) / f"{name}.log", "wb")  # noqa: SIM115
         process = subprocess.Popen(
@@ -479,7 +484,8 @@
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=log,
-            **inherited,
+            pass_fds=inherited,
+            preexec_fn=prepare,
         )
         log.close()
         self.processes.append(process)
@@ -556,6 +562,8 @@
     rig = Rig(Path(file).resolve().parent)
     rig.note("play", trouble=int(TROUBLE))
     status = COULD_NOT_RUN
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         breaks = asyncio.run(_play(rig, case, limit_s))
         for line in breaks:
@@ -563,9 +571,10 @@
             print(line)
         status = BROKEN if breaks else HELD
         print(f"{len(breaks)} breaks: the rule {'was broken' if breaks else 'held'}")
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except Exception as error:  # a fault of the case is no broken rule
         rig.note("could not run", why=repr(error))
         print(f"could not run: {error!r}")
     finally:
         rig.close()
+        sys.unraisablehook = lambda _: None  # streams that outlive their loop have nothing to say
     sys.exit(status)
