Give each planned end of an address's holder one budget for answers and gate

Cause: the gate shut by finish_ms, the requests were due by the end of the process or by their class, and nothing tied the two. With `after` the requests were bounded, with 10 ms between the last answer and the gate's end. While an address was being left, answers kept their connections open, so new requests could come in until the gate shut.

It holds for requests that are taken while the address is left, SIGTERM brings a running one forward, and a gate with `before` does not shut over a pending request while the lease runs. Each answer closes its connection from the beginning of a move on. The process ends after the release. Connections whose last answer has left the process are not reset. The emulated worker ends its connections when it is closed.

--- a/wickgw/address/driver.py
+++ b/wickgw/address/driver.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -16,7 +17,7 @@
 from wickgw.address import events
 from wickgw.address.announce import Announcer, ListenOnlyAnnouncer, ProgramAnnouncer
 from wickgw.address.coordinator import Coordinator
-from wickgw.address.gate import ANSWER_MARGIN_S, Gate, Phase
+from wickgw.address.gate import ANSWER_MARGIN_S, MIN_HANDOVER_S, Gate, HandoverBudget, Phase
 from wickgw.address.keys import KeyFileError, Keys, read_keys
 from wickgw.address.store import VoteStore
 from wickgw.address.wire import MAX_DATAGRAM_BYTES, DatagramCodec
@@ -30,8 +31,7 @@
 
 log = get_logger("wickgw.address")
 MAX_DATAGRAMS_PER_READ = 64  # before other callbacks of the loop run
-SETTLE_S = 0.05  # how long a planned handover waits for requests that are just arriving
-SETTLE_POLL_S = 0.002
+HANDOVER_POLL_S = 0.002  # between checks whether a planned handover has answered everything
 
 
 @dataclass(eq=False)
@@ -84,6 +84,7 @@
         self.socket: socket.socket | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._finish_timers: set[asyncio.TimerHandle] = set()
+        self.stop_at = math.inf  # boot time by which this process has answered everything and ends
 
     # Start, reload, stop.
 
@@ -103,8 +104,18 @@
             log.info("state.unknown", file=str(self.store.path))
         self._handle(events.Started(self.codec.boot, stored_votes))
 
-    def resign(self) -> None:
-        """Hand over all addresses held here; called when the process is about to stop."""
+    def resign(self, within: float) -> None:
+        """Hand over all addresses held here; the process stops in `within` seconds.
+
+        A handover that has started before is brought forward if it would last longer.
+        """
+        now = self.clock.boottime()
+        self.stop_at = now + within
+        for local in self.local_addresses.values():
+            gate = local.gate
+            if gate is not None and gate.budget is not None:
+                remaining_s = gate.budget.ends_at - now
+                self._bound_requests(gate, HandoverBudget.starting(now, remaining_s, self._latest_end(local)))
         if self.socket is not None:
             self._handle(events.Resign())
 
@@ -314,47 +325,79 @@
         """Stop taking requests and release the address.
 
         With `finish` set to `before`, pending requests are answered before the release. With `after`, they
-        are answered after it, while the successor already serves the address.
+        are answered after it, while the successor already serves the address. The settings and the time limit
+        are those of the start of the handover.
         """
         gate = local.gate
         if gate is not None and gate.term == term:
             if local.listener is not None:
                 local.listener.close(drain_backlog=gate.may_take())
                 local.listener = None
-            finish_s = local.settings.finish_ms / 1000
-            before = local.settings.finish == "before"
-            deadline = self.clock.boottime() + (finish_s if before else SETTLE_S)
-            # Requests that are just arriving are still served here; with `before`, wait for pending ones too.
-            while gate.may_take() and self.clock.boottime() < deadline:
-                if self.clients.close_idle_through(gate) and not (
-                    before and self.clients.connections_through(gate)
-                ):
-                    break
-                await asyncio.sleep(SETTLE_POLL_S)
+            now, before = self.clock.boottime(), local.settings.finish == "before"
+            budget = HandoverBudget.starting(now, local.settings.finish_ms / 1000, self._latest_end(local))
+            self._bound_requests(gate, budget)
+            if before:
+                await self._wait_until_answered(gate)
+            else:
+                await self._wait_for_arriving_requests(gate, now + MIN_HANDOVER_S)
             if local.gate is gate:  # not fenced meanwhile
                 local.gate = None
                 if before:
                     self._close_gate(gate)
                 else:
-                    self._finish_pending(gate, finish_s)
+                    self._finish_pending(gate, budget)
         await self._remove_announcement(local, term)
 
-    def _finish_pending(self, gate: Gate, finish_s: float) -> None:
-        """Answer pending requests for up to `finish_s` seconds while the successor already serves."""
-        gate.finish(self.clock.boottime() + finish_s)
+    def _latest_end(self, local: LocalAddress) -> float:
+        """Return the latest end of a handover.
+
+        With `before`, this process releases the address only then, which may run the operator's program.
+        """
+        if self.stop_at == math.inf or local.settings.finish == "after":
+            return self.stop_at
+        if local.settings.announce != "program":
+            return self.stop_at
+        return self.stop_at - local.settings.program_timeout_ms / 1000
+
+    def _bound_requests(self, gate: Gate, budget: HandoverBudget) -> None:
+        """Let every request of the gate, taken already or still to be taken, be due within the budget."""
+        gate.leave(budget)
+        self.clients.shorten_deadlines(gate, gate.time_left())
+
+    async def _wait_until_answered(self, gate: Gate) -> None:
+        """Serve until every request is answered; one that has not arrived whole by the budget's end is not.
+
+        Requests are due before that end. If the process was held up, the lease still covers the answers.
+        """
+        while gate.may_take() and gate.budget is not None:
+            is_idle = self.clients.close_idle_through(gate)
+            may_end = is_idle or self.clock.boottime() >= gate.budget.ends_at
+            if may_end and not self.clients.has_pending_through(gate):
+                return
+            await asyncio.sleep(HANDOVER_POLL_S)
+
+    async def _wait_for_arriving_requests(self, gate: Gate, deadline: float) -> None:
+        """Take the requests that are just arriving."""
+        while gate.may_take() and self.clock.boottime() < deadline:
+            if self.clients.close_idle_through(gate):
+                return
+            await asyncio.sleep(HANDOVER_POLL_S)
+
+    def _finish_pending(self, gate: Gate, budget: HandoverBudget) -> None:
+        """Answer pending requests within the budget while the successor already serves."""
+        gate.finish(budget.ends_at)
         if gate.phase is not Phase.FINISHING:
             self._close_gate(gate)
             return
         for connection in self.clients.connections_through(gate):
             if connection.pending is None and not connection.is_closing:
                 connection.fence()
-        self.clients.shorten_deadlines(gate, finish_s - ANSWER_MARGIN_S)
 
         def finish() -> None:
             self._finish_timers.discard(timer)
             self._close_gate(gate)
 
-        timer = self.loop.call_later(finish_s, finish)
+        timer = self.loop.call_later(max(0.0, budget.ends_at - self.clock.boottime()), finish)
         self._finish_timers.add(timer)
 
     def _close_gate(self, gate: Gate) -> None:
--- a/wickgw/emulator/worker.py
+++ b/wickgw/emulator/worker.py
@@ -37,6 +37,12 @@
         self._ready.set()
         self._loop.run_forever()
         server.close()
+        jobs = asyncio.all_tasks(self._loop)
+        for job in jobs:
+            job.cancel()
+        self._loop.run_until_complete(asyncio.gather(*jobs, return_exceptions=True))
+        self._loop.run_until_complete(asyncio.sleep(0))  # their connections close in a turn of their own
+        self._loop.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -54,6 +60,8 @@
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
             writer.close()
 
     def list_entry(self) -> dict[str, object]:
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -62,6 +62,9 @@
     def may_take(self) -> bool:
         """Return whether a connection may be accepted or a request be started."""
 
+    def keeps_connections(self) -> bool:
+        """Return whether a connection may stay open after its answer."""
+
     def may_answer(self) -> bool:
         """Return whether anything may be written."""
 
@@ -184,7 +187,7 @@
             if not self.gate.may_answer():  # another instance serves this address and its clients now
                 self.fence()
                 return
-            keep_alive = keep_alive and self.gate.may_take()
+            keep_alive = keep_alive and self.gate.keeps_connections()
         self.transport.write(http.encode_response(status, body, fields, keep_alive))
         self.waiting_since, self.is_unused = self.clients.loop.time(), False
         if not keep_alive:
@@ -606,7 +609,7 @@
     def close_idle_through(self, gate: Gate) -> bool:
         """Close the gate's connections that are between requests.
 
-        Returns whether none is left that may still bring a request.
+        Returns whether none is left that may still bring a request or has part of an answer to write.
         """
         waiting = [
             candidate
@@ -616,7 +619,9 @@
         for connection in waiting:
             if connection.can_close:
                 self._close_connection(connection)
-        return all(candidate.is_closing for candidate in waiting)
+        return all(candidate.is_closing for candidate in waiting) and not any(
+            connection.unwritten_bytes for connection in self.connections_through(gate)
+        )
 
     def shorten_deadlines(self, gate: Gate, within: float) -> None:
         """Bound the deadlines of all requests that came through a gate to `within` seconds from now."""
@@ -624,10 +629,19 @@
             if connection.pending is not None:
                 connection.pending.shorten_deadline(self.loop.time() + within)
 
+    def has_pending_through(self, gate: Gate) -> bool:
+        """Return whether a request that came through a gate waits for its answer."""
+        return any(connection.pending is not None for connection in self.connections_through(gate))
+
     def fence_all(self, gate: Gate) -> None:
-        """Reset all connections of a gate, and report to the decision module that their clients left."""
+        """Reset the connections of a gate, and report to the decision module that their clients left.
+
+        A connection whose last answer has left this process carries nothing more. A reset could destroy that
+        answer on its way, so such a connection ends as any other does.
+        """
         for connection in self.connections_through(gate):
-            connection.fence()
+            if not connection.is_closing or connection.unwritten_bytes:
+                connection.fence()
 
     # Shutdown.
 
--- a/wickgw/node.py
+++ b/wickgw/node.py
@@ -246,12 +246,12 @@
         self.stopping = True
         log.info("node.draining")
         self.clients.announce_shutdown()
-        if self.address_driver is not None:
-            self.address_driver.resign()
         within = (
             min(MAX_DEADLINE_S, max(request_class.deadline for request_class in self.config.settings.classes))
             + SHUTDOWN_MARGIN_S
         )
+        if self.address_driver is not None:
+            self.address_driver.resign(within)
         self.pools.stop(within)
         # An answer that its client does not read must not keep the process until SIGKILL.
         self.loop.call_later(within + 0.1, self._finish)
@@ -291,7 +291,12 @@
         may have other settings, or be of a version that does not wait for the votes of this one.
         """
         self.clients.close_idle()
-        is_serving = self.pools.unanswered or self.clients.has_unfinished_work or self.sockets.opening_count
+        is_serving = (
+            self.pools.unanswered
+            or self.clients.has_unfinished_work
+            or self.sockets.opening_count
+            or (self.address_driver is not None and self.address_driver.busy)
+        )
         if is_serving or not (self.address_driver is None or self.address_driver.stop_voting()):
             if not self.finished.done():
                 self.loop.call_later(DRAIN_CHECK_INTERVAL_S, self._finish_when_done)
