Count a cold worker's share by the work that warm ones do, not by what they are sent

Cause: the share of a cold worker is a part of what a warm one does, and that was counted when an attempt was sent: those that full workers turned away, that were lost or hedged counted as work.

Change: the work of a job that a warm worker served counts once, when it ends. While there are warm workers and none has served a job, nothing is sent to cold ones; first sends are set again while the average fills its window. The simulation takes a bound of the workers' queues and reports the largest load of a cold worker over what is tolerated.

--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -87,7 +87,7 @@
         for _ in range(2):  # two jobs end at each worker: one serves them, at the other they time out
             serving_worker.in_flight -= 1
             timing_out_worker.in_flight -= 1
-            Attempt(timing_out_worker, 1.0, caller.now - 0.05, caller.now).remove_from_tick(
+            Attempt(timing_out_worker, 1.0, 0.05, caller.now - 0.05, caller.now).remove_from_tick(
                 caller.balancer.last_tick_at
             )
     caller.balancer._start_solve(0.0)
--- a/wickgw/balance.py
+++ b/wickgw/balance.py
@@ -25,6 +25,7 @@
 from wickgw.records import (
     NO_ROWS,
     Attempt,
+    FirstColdSend,
     Request,
     RequestQueue,
     RequestQueues,
@@ -59,6 +60,9 @@
 # Jobs that all dispatchers together let wait at one worker; and the multiple of its minimum share that a cold
 # worker gets, which is half of the allowed maximum.
 SHARED_QUEUE_JOBS, COLD_SHARE_FACTOR = 3.0, 2.0
+WARM_RATE_WINDOW_S = 5.0  # over which the work of warm workers is averaged
+RESCHEDULING_GROWTH = 1.25  # of the rate of warm workers, after which first sends to cold ones are set again
+MIN_WARM_RATE = 1e-9  # slots; a lower rate counts as unknown
 # Cost of a fee in slots: a fee of a twentieth of a request's worth counts as much as one more slot in use.
 SLOTS_PER_FEE = 20.0
 # Retry budget: the tokens that each arrival adds, and the most that are saved. A further attempt takes one.
@@ -132,8 +136,12 @@
         self.mean_run_times = self.run_times.mean  # learned, in seconds, by class
         # This dispatcher's parts of the tenants' quotas.
         self.quotas = [TokenBucket(tenant.quota / settings.dispatchers) for tenant in settings.tenants]
-        self.warm_work_sent = 0.0  # slot-seconds sent to warm workers since the last tick
-        self.warm_rate = 0.0  # moving average of slot-seconds per second and warm worker
+        self.warm_work_done = 0.0  # slot-seconds of jobs that warm workers ended since the last tick
+        self.warm_rate = 0.0  # moving average of slot-seconds done per second and warm worker
+        self.warm_rate_settled_at = math.inf  # when `warm_rate` is an average over its whole window
+        self.scheduled_warm_rate = 0.0  # by which the sends of `first_cold_sends` were set
+        # Cold workers without a send so far, whose first one is not settled.
+        self.first_cold_sends: dict[Worker, FirstColdSend] = {}
         self.stop_at = math.inf  # time at which this instance ends
         self.actions: list[i.Action] = []  # of the current event
 
@@ -257,6 +265,7 @@
         home_members = sum(worker.zone == self.settings.zone for worker in self.members)
         for entry in self.standby.take(min(room, MAX_ADMITTED_PER_CALL), room, home_members, self.rng):
             self._add_member(entry, now)
+        self._schedule_cold_workers(now)
         room = self.member_limit - sum(worker.ready for worker in self.members)
         if room > 0 and self.standby and not self.admit_scheduled:
             self.admit_scheduled = True
@@ -300,6 +309,7 @@
         )
         for entry in entries:
             self._add_member(entry, now)
+        self._schedule_cold_workers(now)
         return bool(entries)
 
     def _retire_unused(self, now: float) -> None:
@@ -328,9 +338,11 @@
         worker.last_used_at = now
         # Hundreds of dispatchers may see it start at the same time. Each waits for a random part of the
         # interval between two of its sends.
-        worker.next_cold_send = now + self._cold_send_interval(
-            worker, self.rng.random() * sum(self.mean_run_times) / len(self.mean_run_times), now
-        )
+        first = FirstColdSend(now, self.rng.random())
+        if now < min(warm_at, self.warm_rate_settled_at):
+            worker.next_cold_send, self.first_cold_sends[worker] = math.inf, first
+        else:
+            self._schedule_first_cold_send(worker, first)
         # In another zone one job at a time at first, because the dispatchers of that zone use the rest.
         worker.concurrency_limit = math.inf if worker.zone == self.settings.zone else 1.0
         self.workers[worker.id] = self.row_workers[worker.row] = worker
@@ -396,12 +408,40 @@
         if ready:
             self.standby.add(entry)
 
+    def _schedule_cold_workers(self, now: float) -> None:
+        """Set the first sends to cold workers again, until the rate of warm workers is settled.
+
+        While there are warm workers and none of them has done any work for this dispatcher, its share is
+        unknown, and it sends nothing to a cold one. The rate is settled when it is an average over its whole
+        window.
+        """
+        is_unknown = self.warm_rate <= MIN_WARM_RATE
+        if not self.first_cold_sends or (is_unknown and any(now >= each.warm_at for each in self.members)):
+            return
+        has_grown = self.warm_rate > RESCHEDULING_GROWTH * self.scheduled_warm_rate
+        is_settled = now >= self.warm_rate_settled_at
+        if has_grown:
+            self.scheduled_warm_rate = self.warm_rate
+        for worker, first in list(self.first_cold_sends.items()):
+            is_member = self.row_workers[worker.row] is worker
+            if is_member and (has_grown or worker.next_cold_send == math.inf):
+                self._schedule_first_cold_send(worker, first)
+                self._update_index(worker)
+            if is_settled or not is_member or now >= worker.warm_at:
+                del self.first_cold_sends[worker]
+
+    def _schedule_first_cold_send(self, worker: Worker, first: FirstColdSend) -> None:
+        mean_work = sum(self.mean_run_times) / len(self.mean_run_times)
+        interval = self._cold_send_interval(worker, first.fraction * mean_work, first.known_at)
+        worker.next_cold_send = first.known_at + interval
+
     def _cold_send_interval(self, worker: Worker, cost: float, now: float) -> float:
         """Return the seconds in which a cold worker's share adds up to one job of `cost` slot-seconds.
 
-        The worker's share s, as a fraction of a warm worker's work, rises linearly from initial_capacity at
-        its start to 1 after warmup_time. Let k = (1 - initial_capacity) / warmup_time be its slope, and
-        d = cost / (COLD_SHARE_FACTOR * warm_rate) in seconds. The interval T solves s T + k T^2 / 2 = d:
+        The worker's share s, as a fraction of the work that a warm worker does, rises linearly from
+        initial_capacity at its start to 1 after warmup_time. Let k = (1 - initial_capacity) / warmup_time be
+        its slope, and d = cost / (COLD_SHARE_FACTOR * warm_rate) in seconds. The interval T solves
+        s T + k T^2 / 2 = d:
 
             T = 2 d / (s + sqrt(s^2 + 2 k d))
 
@@ -414,7 +454,9 @@
             1.0, max(0.0, worker.warm_at - now) / warmup_time
         )
         due = cost / (
-            COLD_SHARE_FACTOR * self.warm_rate if self.warm_rate > 1e-9 else 1 / self.settings.dispatchers
+            COLD_SHARE_FACTOR * self.warm_rate
+            if self.warm_rate > MIN_WARM_RATE
+            else 1 / self.settings.dispatchers
         )
         return (
             2
@@ -530,7 +572,10 @@
 
     def _send(self, request: Request, worker: Worker, now: float) -> None:
         """Send the next attempt of a request to a worker."""
-        attempt = Attempt(worker, request.slots, now, now, None if self.settings.reports_start else now)
+        work = request.slots * self.mean_run_times[request.class_index]
+        attempt = Attempt(worker, request.slots, work, now, now)
+        attempt.started_at = None if self.settings.reports_start else now
+        attempt.hedged = request.mark_open_attempts_hedged()
         if worker.idle_since and now - worker.idle_since[-1] >= self.trusted_idle_time:
             self.actions.append(i.Close(worker.id))
             worker.idle_since.clear()
@@ -545,11 +590,9 @@
         worker.slots_in_flight += request.slots
         worker.sent_since_tick += 1
         worker.unstarted += self.settings.reports_start
-        cost = request.slots * self.mean_run_times[request.class_index]
         if now < worker.warm_at:
-            worker.next_cold_send = now + self._cold_send_interval(worker, cost, now)
-        else:
-            self.warm_work_sent += cost
+            self.first_cold_sends.pop(worker, None)
+            worker.next_cold_send = now + self._cold_send_interval(worker, work, now)
         self._update_index(worker)
         self.actions.append(i.Send(request.id, worker.id))
 
@@ -667,6 +710,9 @@
             worker.returned_unusable = False
             worker.concurrency_limit += LIMIT_GROWTH_SLOTS
             worker.failure_score = max(0.0, worker.failure_score - FAILURE_SCORE_PER_SUCCESS)
+            # The work of a job counts once: a hedged job's request is gone when its second attempt ends.
+            if attempt.sent_at >= worker.warm_at and (request is not None or not attempt.hedged):
+                self.warm_work_done += attempt.work
             self._cancel_other_attempts(request, served=True)
             if (
                 request
@@ -979,9 +1025,12 @@
         elif event.name == "tick":
             # Without a warm worker the previous rate stays.
             if warm_workers := sum(now >= worker.warm_at for worker in self.members):
-                rate = self.warm_work_sent / self.tick_interval / warm_workers
-                self.warm_rate += min(1.0, self.tick_interval / 5) * (rate - self.warm_rate)
-            self.warm_work_sent = 0.0
+                rate = self.warm_work_done / self.tick_interval / warm_workers
+                if rate and self.warm_rate_settled_at == math.inf:
+                    self.warm_rate_settled_at = now + WARM_RATE_WINDOW_S
+                self.warm_rate += min(1.0, self.tick_interval / WARM_RATE_WINDOW_S) * (rate - self.warm_rate)
+            self.warm_work_done = 0.0
+            self._schedule_cold_workers(now)
             self._record_tick(now)
             self._retire_unused(now)
             self._set_timer("tick", self.tick_interval)
--- a/wickgw/emulator/fleet_simulation/dispatcher.py
+++ b/wickgw/emulator/fleet_simulation/dispatcher.py
@@ -63,6 +63,10 @@
         """Report the result of the job."""
         self._deliver(i.Outcome(self.job.name, self.number, i.Verdict.OK))
 
+    def report_declined(self) -> None:
+        """Report that the worker turned the job away unstarted, because its queue was full."""
+        self._deliver(i.Outcome(self.job.name, self.number, i.Verdict.FULL))
+
     def report_reset(self) -> None:
         """Report a connection reset because the worker died."""
         self._deliver(i.Outcome(self.job.name, self.number, i.Verdict.RESET))
--- a/wickgw/emulator/fleet_simulation/fleet.py
+++ b/wickgw/emulator/fleet_simulation/fleet.py
@@ -39,6 +39,8 @@
     list_bytes_per_s: float  # exchanged with discovery, mean of the dispatchers
     falls: int  # overload failures of cold workers
     cold_budget_used: float  # share of the requests that cold workers were allowed, over the fleet
+    cold_peak: float  # most requests that a cold worker got in the window, over the tolerated number
+    declined: float  # share of the attempts, turned away by full workers
     broken: dict[str, int]  # violations by rule
 
     def as_dict(self) -> dict[str, object]:
@@ -251,6 +253,8 @@
             list_bytes_per_s=self.list_bytes / dispatcher_seconds,
             falls=sum(worker.overloads for worker in self.workers.values()),
             cold_budget_used=self._cold_budget_used(),
+            cold_peak=max(worker.cold_peak for worker in self.workers.values()),
+            declined=sum(worker.declined for worker in self.workers.values()) / max(1, sum(received)),
             broken={
                 "answered twice": self.answered_twice,
                 "not answered": self.unanswered,
--- a/wickgw/emulator/fleet_simulation/plan.py
+++ b/wickgw/emulator/fleet_simulation/plan.py
@@ -46,6 +46,7 @@
     warm_after_s: float = 20.0
     overload_factor: float = 4.0  # load that a cold worker survives, as a multiple of its capacity
     overload_window_s: float = 1.0  # over which that load is counted
+    queue_limit: int | None = None  # jobs that may wait at a worker, which turns further ones away
     drain_grace_s: float = 2.0
     same_zone_latency_s: float = 0.0003  # one way
     other_zone_latency_s: float = 0.015  # one way
--- a/wickgw/emulator/fleet_simulation/worker.py
+++ b/wickgw/emulator/fleet_simulation/worker.py
@@ -48,6 +48,8 @@
         self.start_counts: dict[str, int] = {}  # how often each job was started, by its name
         self.informed_overloads = 0  # overload failures caused by dispatchers that knew of the start
         self.overloads = 0
+        self.cold_peak = 0.0  # most requests received in the window while cold, over the tolerated number
+        self.declined = 0  # requests turned away because the queue was full
         self._recent: deque[ColdArrival] = deque()
 
     def capacity_share(self) -> float:
@@ -72,7 +74,9 @@
         return plan.overload_factor * plan.slots / plan.mean_work_s * share_seconds
 
     def receive(self, attempt: "Attempt", informed: bool) -> None:
-        """Accept a request, or fail if it overloads a cold worker.
+        """Accept a request, turn it away if the queue is full, or fail if it overloads a cold worker.
+
+        What is turned away counts as load too.
 
         Args:
             attempt: The attempt whose request has arrived.
@@ -84,6 +88,10 @@
             if self._is_overloaded(informed):
                 self.stop(WorkerState.DOWN)
                 return
+        if self.plan.queue_limit is not None and len(self.queue) >= self.plan.queue_limit:
+            self.declined += 1
+            attempt.report_declined()
+            return
         self.queue.append(attempt)
         self._start_jobs()
 
@@ -98,7 +106,9 @@
             self._recent.popleft()
         capacity = plan.slots / plan.mean_work_s * self.capacity_share()
         allowed = plan.overload_factor * capacity * plan.overload_window_s
-        if len(self._recent) <= allowed + 2 * math.sqrt(allowed) + 2:
+        tolerated = allowed + 2 * math.sqrt(allowed) + 2
+        self.cold_peak = max(self.cold_peak, len(self._recent) / tolerated)
+        if len(self._recent) <= tolerated:
             return False
         self.overloads += 1
         if sum(arrival.informed for arrival in self._recent) > INFORMED_SHARE * len(self._recent):
--- a/wickgw/records.py
+++ b/wickgw/records.py
@@ -53,17 +53,27 @@
     slots: float = math.inf  # its free slots plus ours, by the last load report; infinite: no report
 
 
+@dataclass(frozen=True, slots=True)
+class FirstColdSend:
+    """What the time of the first send to a cold worker depends on, beside the rate of warm workers."""
+
+    known_at: float  # when the worker became a member
+    fraction: float  # random part of the interval between two sends, 0 to 1
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One sending of a request to a worker."""
 
     worker: Worker
     slots: float
+    work: float  # slot-seconds that the job was expected to take when it was sent
     sent_at: float
     last_news_at: float  # time of the last event about it
     started_at: float | None = None
     verdict: i.Verdict | None = None  # None: still open
     migrated: bool = False  # cancelled in order to run on another worker
+    hedged: bool = False  # another attempt of its request was out at the same time
     connection_idle_time: float = 0.0  # seconds for which its connection had been idle
     start_delay_factor: float = 1.0  # network delay of its start report, in units of min_start_delay
     fraction_done: float = 0.0  # of the job, by the last progress report
@@ -124,6 +134,13 @@
         """Return the seconds that a job of `run_time` seconds may wait at a worker and still be on target."""
         return self.request_class.latency_target + (self.request_class.stretch - 1) * run_time
 
+    def mark_open_attempts_hedged(self) -> bool:
+        """Mark the attempts that are out when another one is sent, and return whether there were any."""
+        open_attempts = [attempt for attempt in self.attempts if attempt.verdict is None]
+        for attempt in open_attempts:
+            attempt.hedged = True
+        return bool(open_attempts)
+
     @property
     def started_count(self) -> int:
         """Number of attempts that started to run."""
