Count what all connections hold only where it may be too much

What was seen: beside 600 clients that write large requests in small pieces, at a third of a core with 1,024 descriptors, usual jobs waited over 3 s and three of 71 got no answer in that time.

Cause: each piece of a request of over 8 KB looked at every connection, half a millisecond and more.

Change: what was held at the last count and all bytes since are an upper bound; connections are looked at only where that does not fit, and while they hold too much for a tenth of the time.

--- a/tests/test_client_plays.py
+++ b/tests/test_client_plays.py
@@ -13,6 +13,7 @@
 
 from wickgw.net import http
 from wickgw.net.clients import ClientConnection
+from wickgw.net.sockets import Connection
 
 SECONDS = 2.5
 PARALLEL_PLAYS = 3
@@ -137,3 +138,30 @@
     assert not parser.has_more_to_decode
     following = parser.next()
     assert following is not None and following.path == "/-/healthy"
+
+
+def test_held_bytes_are_counted_only_where_they_may_be_too_many() -> None:
+    """Guards against a look at every connection for each piece of a large request."""
+    scene = Scenario()
+    try:
+        sockets, counts = scene.node.sockets, []
+
+        class Counted(Connection):
+            @property
+            def held_bytes(self) -> int:
+                counts.append(1)
+                return 1000
+
+        sockets.client_connections = [Counted()]
+        sockets.max_message_bytes = 10_000
+        for _ in range(100):
+            assert sockets.has_room()
+        assert len(counts) == 1
+        Connection.message_bytes += 9_000
+        assert sockets.has_room() and len(counts) == 1
+        Connection.message_bytes += 1
+        assert sockets.has_room() and len(counts) == 2
+        sockets.max_message_bytes = 900
+        assert not sockets.has_room()
+    finally:
+        scene.close()
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -200,7 +200,9 @@
                 self.fence()
                 return
             keep_alive = keep_alive and self.gate.keeps_connections()
-        self.transport.write(http.encode_response(status, body, fields, keep_alive))
+        response = http.encode_response(status, body, fields, keep_alive)
+        Connection.message_bytes += len(response)
+        self.transport.write(response)
         self.waiting_since, self.is_unused = self.clients.loop.time(), False
         if not keep_alive:
             # A close with unread input would reset the connection and could destroy the answer in flight.
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -8,10 +8,11 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import resource
 import socket
 from collections.abc import Collection
-from typing import Any, Protocol, cast
+from typing import Any, ClassVar, Protocol, cast
 
 from wickgw.observe import get_logger
 
@@ -37,6 +38,7 @@
 _WORKER_CONNECTION_BYTES = _WORKER_OBJECT_BYTES + (80 * 1024 + 68 * 1024) // 6
 _BUFFER_OVERHEAD = 1.25  # size of a buffer, by the bytes in it
 MIN_MESSAGE_BYTES = 1_000_000  # that all connections together may hold, however little memory there is
+COUNT_PAUSE_FACTOR = 10  # pause after a count of what all connections hold, in times that it took
 UNCOUNTED_MESSAGE_BYTES = 8 * 1024  # that each connection may hold even if all together hold too much
 
 
@@ -46,6 +48,7 @@
     transport: asyncio.Transport | None = None
     sock: socket.socket | None = None  # the transport's descriptor, for a look at unread data
     discarding = False  # received data is dropped without a copy
+    message_bytes: ClassVar[int] = 0  # ever received or written on all connections of the process
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and report that the connection is open."""
@@ -60,6 +63,7 @@
         """Pass on received bytes. An unexpected error closes only this connection."""
         if self.discarding:
             return
+        Connection.message_bytes += nbytes
         try:
             self.received(bytes(_READ_BUFFER[:nbytes]))
         except Exception:
@@ -124,6 +128,9 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: int, memory_mb: float) -> None:
         self.loop = loop
         self.list_bytes = 0  # memory of the worker list
+        # What the connections held when that was last counted, `Connection.message_bytes` at that time, and
+        # the time until which they count as holding too much.
+        self._held_bytes, self._counted_at_bytes, self._full_until = math.inf, 0, -math.inf
         self.set_limits(descriptors, memory_mb)
         self.opening_count = 0  # sockets without a transport yet
         self.pools: list[PoolConnections] = []
@@ -169,11 +176,23 @@
     def has_room(self) -> bool:
         """Return whether the connections together hold no more of messages than they may.
 
-        This looks at every connection, so it is only asked about a connection that holds much.
+        Counting takes a millisecond where there are a thousand connections. It is not needed while all bytes
+        since the last count fit as well, and takes a tenth of the time while they hold too much.
         """
+        new_bytes = Connection.message_bytes - self._counted_at_bytes
+        if self._held_bytes + new_bytes <= self.max_message_bytes:
+            return True
+        began = self.loop.time()
+        if began < self._full_until:
+            return False
         connections = itertools.chain(self.client_connections, *(pool.connections for pool in self.pools))
-        held_bytes: int = sum(connection.held_bytes for connection in connections)
-        return held_bytes <= self.max_message_bytes
+        self._held_bytes = sum(connection.held_bytes for connection in connections)
+        self._counted_at_bytes = Connection.message_bytes
+        if self._held_bytes <= self.max_message_bytes:
+            return True
+        now = self.loop.time()
+        self._full_until = now + COUNT_PAUSE_FACTOR * (now - began)
+        return False
 
     def set_list_bytes(self, list_bytes: int) -> None:
         """Set the memory of the worker list, which is not available for connections."""
--- a/wickgw/net/worker_connection.py
+++ b/wickgw/net/worker_connection.py
@@ -156,7 +156,9 @@
         self.body_bytes, self.request_sent = 0, False
         self.request_started = True
         self.owner.waiting_attempts.discard(self.attempt)
-        self.transport.write(self.attempt.encode_request())
+        request = self.attempt.encode_request()
+        Connection.message_bytes += len(request)
+        self.transport.write(request)
         # The buffer is also empty after a write that failed at once. Then nothing was sent, and the transport
         # is closing.
         if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
