Remember ids of never-twice requests, in upgrades too; forward nothing for gone clients

What callers saw: a never-twice id ran again when it came after its client had left and its run had ended, and at the other process of an upgrade; the jobs of a client that closed its connection with much unread were forwarded.

Cause: an id was known only while it was in hand, and to one process. The look for a client's end saw the first unread byte and not the end behind it; with more than the kernel's buffers hold, even the kernel does not have the end.

Change: SentIds keeps the ids of attempts about to be written for twice the longest deadline, within 1 MB, for all pools; ids of which none ran are forgotten. SharedSentIds adds files in $TMPDIR where the platform passes the clients' socket. A repeat is answered 409. The end is asked for behind unread data (POLLRDHUP), else up to 512 KB are read ahead, and with more than that behind it a job is refused.

--- a/wickgw/emulator/serve_process.py
+++ b/wickgw/emulator/serve_process.py
@@ -67,6 +67,8 @@
         known: Entries of the list of workers in the configuration; None leaves the list out.
         memory_mb: The platform's memory limit.
         sockets: The platform's limit of descriptors.
+        passed: The clients' listening socket, for a process of an upgrade.
+        temporary: Its directory for temporary files, which the processes of an upgrade share.
     """
 
     def __init__(
@@ -78,8 +80,11 @@
         known: Sequence[dict[str, object]] | None = None,
         memory_mb: int = 96,
         sockets: int = 640,
+        passed: socket.socket | None = None,
+        temporary: Path | None = None,
     ) -> None:
-        self.port, self.config_file = free_port(socket.SOCK_STREAM), folder / f"{name}.json"
+        self.port = free_port(socket.SOCK_STREAM) if passed is None else int(passed.getsockname()[1])
+        self.config_file = folder / f"{name}.json"
         self.log_file = folder / f"{name}.log"
         config: dict[str, Any] = {
             "name": name,
@@ -98,9 +103,14 @@
             "OPENBLAS_NUM_THREADS": "1",
             "OMP_NUM_THREADS": "1",
         }
+        if temporary is not None:
+            environ["TMPDIR"] = str(temporary)
+        if passed is not None:
+            environ["RELAY_PASSED_SOCKET"] = str(passed.fileno())
+        inherited = (passed.fileno(),) if passed is not None else ()
         command = [sys.executable, "-m", "wickgw", "serve"]
         with self.log_file.open("ab") as log:
-            self.process = subprocess.Popen(command, env=environ, stdout=log, stderr=log)
+            self.process = subprocess.Popen(command, env=environ, stdout=log, stderr=log, pass_fds=inherited)
 
     def wait_ready(self) -> float:
         """Wait until `/-/ready` answers with success, and return the seconds that it took.
--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -138,9 +138,7 @@
         if not self.parser.has_partial_request and not self.is_unused:
             self.waiting_since = self.clients.loop.time()
         self.parser.feed(data)
-        if self.is_in_backlog:  # read by a check for a disconnect
-            return
-        if self.pending is None:
+        if self.pending is None and not self.is_reading and not self.is_in_backlog:
             self.read_requests()
         elif self._exceeds(len(self.parser.buffer), MAX_PIPELINED_BYTES):
             # Reading does not pause, since the client's disconnect would wait behind its unread bytes.
@@ -251,10 +249,17 @@
             self.read_requests()
 
     def has_disconnected(self) -> bool:
-        """Return whether the client has ended its side.
+        """Return whether the client has ended its side, as far as a bounded number of reads shows."""
+        return self.find_end() is True
+
+    def find_end(self) -> bool | None:
+        """Return whether the client has ended its side; None if too much is unread to tell.
 
-        Input that the client sent before the end is read first, since the end lies behind it.
+        The end may lie behind input that the client sent before, here or still at the client. So that is read
+        first.
         """
+        if self.peer_has_closed():
+            return True
         for _ in range(MAX_LOOKAHEAD_READS):
             next_byte = self._peek()
             if not next_byte:
@@ -263,7 +268,7 @@
             data = self.sock.recv(READ_SIZE_BYTES)
             if not self.discarding:
                 self.received(data)
-        return False
+        return None
 
     def eof_received(self) -> bool:
         """Treat the end of the client's side as a disconnect.
@@ -412,6 +417,8 @@
             request_class.name: (index, request_class.deadline)
             for index, request_class in enumerate(settings.classes)
         }
+        # By class index: whether a request does no harm if it runs again.
+        self.repeatable_classes = [each.idempotency is i.Idempotency.SAFE for each in settings.classes]
         self.tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
         self.connections: set[ClientConnection] = set()
         sockets.client_connections = self.connections
@@ -611,12 +618,18 @@
             job = Job(request.method, request.target, request.body, request.headers.get("idempotency-key"))
             # A request that names no known tenant, or several, gets index -1: beyond every tenant's share.
             tenant = self.tenants.get(request.headers.get("req-owner", ""), -1) if self.tenants else 0
-            if connection.peer_has_closed():  # while the request waited to be accepted or read
+            has_ended = connection.find_end()
+            if has_ended:  # while the request waited to be accepted or read
                 self.counters["left_unread"] += 1
                 return
+            if has_ended is None:  # so much sent ahead that nobody can tell whether the client is still there
+                connection.keep_alive = False
+                connection.reject(503, "too much sent ahead", {"Retry-After": str(MEMORY_RETRY_AFTER_S)})
+                return
             pending = PendingRequest(
                 request_id, class_index, deadline, job, connection, slots, tenant, choice.max_attempts
             )
+            pending.may_run_again = self.repeatable_classes[class_index]
             connection.request_accepted(pending)
             if not self.pools.submit(choice, pending):
                 connection.pending = None
--- a/wickgw/net/dispatch.py
+++ b/wickgw/net/dispatch.py
@@ -18,7 +18,8 @@
 from typing import Any, Protocol
 
 from wickgw import interface as i
-from wickgw.balance import Balancer
+from wickgw.balance import NEVER_RAN, Balancer
+from wickgw.net.sent_ids import SentIds
 from wickgw.observe import get_logger
 
 log = get_logger("wickgw")
@@ -106,6 +107,9 @@
     tenant: int = 0  # index into the settings' tenants; -1: none of them
     max_attempts: int | None = None  # if the route allows fewer than the settings
     dispatcher: "Dispatcher | None" = None  # set once the request is accepted
+    may_run_again: bool = True  # another run of it, by anybody, does no harm
+    is_remembered: bool = False  # its id is among those that must not run again
+    may_have_run: bool = False  # an attempt has ended, and not as one that never ran
     attempts_started: int = 0
     open_attempts: dict[int, str] = field(default_factory=dict)  # attempt number -> worker, until the outcome
     deadline_timer: asyncio.TimerHandle | None = None
@@ -125,9 +129,16 @@
     """Runs one Balancer on the loop: feeds it events and carries out its actions in order."""
 
     def __init__(
-        self, balancer: Balancer, loop: asyncio.AbstractEventLoop, clock: Clock, attempt_runner: AttemptRunner
+        self,
+        balancer: Balancer,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        attempt_runner: AttemptRunner,
+        sent_ids: SentIds | None = None,
     ) -> None:
+        """`sent_ids` are those of the whole process; without them, no id is remembered."""
         self.balancer, self.loop, self.clock, self.attempt_runner = balancer, loop, clock, attempt_runner
+        self.sent_ids = sent_ids
         self.pending: dict[str, PendingRequest] = {}  # by request id
         self.on_attempt_ended: Callable[[str, i.Verdict], None] | None = None  # gets worker and verdict
         self.counters: Counter[str] = Counter()
@@ -159,9 +170,15 @@
         self._enqueue(i.WorkerList(kind, entries))
 
     def submit(self, pending: PendingRequest) -> bool:
-        """Accept a request, which gets exactly one answer. Returns False if its id is in use."""
+        """Accept a request, which gets exactly one answer.
+
+        Returns False if its id is in use, or if it may have run before and must not run again.
+        """
         if pending.id in self.pending:
             return False
+        if self._is_repeat(pending):
+            self.counters["repeats"] += 1
+            return False
         self.counters["taken"] += 1
         pending.dispatcher = self
         if self.stop_deadline is not None:
@@ -179,6 +196,12 @@
         self._arriving = None
         return True
 
+    def _is_repeat(self, pending: PendingRequest) -> bool:
+        """Return whether a request may have run before, at any process, and must not run again."""
+        if self.sent_ids is None or pending.may_run_again:
+            return False
+        return self.sent_ids.knows(pending.id, self.clock.now())
+
     def client_left(self, pending: PendingRequest) -> None:
         """Handle the disconnect of a client. Written attempts run to their end; unsent ones are cancelled."""
         if pending.client is None:
@@ -199,7 +222,12 @@
         if client is not None and pending is not self._arriving and client.has_disconnected():
             self.counters["left_before_attempt"] += 1
             self.client_left(pending)
-        return pending.client is not None
+        if pending.client is None:
+            return False
+        if self.sent_ids is not None and not pending.may_run_again:
+            self.sent_ids.remember(pending.id, self.clock.now())
+            pending.is_remembered = True
+        return True
 
     def attempt_started(self, request_id: str, number: int) -> None:
         """Report that a worker has begun an attempt."""
@@ -227,6 +255,7 @@
             return
         self.counters[f"try.{verdict.value}"] += 1
         worker = pending.open_attempts.pop(number)
+        pending.may_have_run = pending.may_have_run or verdict not in NEVER_RAN
         if verdict is i.Verdict.OK:
             self._answer(pending, Answer(AnswerKind.SERVED, result))
         self._enqueue(i.Outcome(request_id, number, verdict, answered=pending.client is None, free=free))
@@ -373,6 +402,9 @@
     def _discard_if_done(self, pending: PendingRequest) -> None:
         if pending.client is None and not pending.open_attempts:
             self.pending.pop(pending.id, None)
+            if self.sent_ids is not None and pending.is_remembered and not pending.may_have_run:
+                self.sent_ids.forget(pending.id)
+            pending.is_remembered = False
 
     def _set_deadline_timer(self, pending: PendingRequest) -> None:
         if pending.deadline_timer is not None:
--- a/wickgw/net/pool_server.py
+++ b/wickgw/net/pool_server.py
@@ -15,6 +15,7 @@
 from wickgw.balance import Balancer
 from wickgw.config.relay import Config, ConfigError
 from wickgw.net.dispatch import Clock, Dispatcher
+from wickgw.net.sent_ids import SentIds
 from wickgw.net.sockets import Sockets
 from wickgw.net.worker_connections import WorkerConnections
 from wickgw.net.worker_list import Target
@@ -44,6 +45,7 @@
         loop: asyncio.AbstractEventLoop,
         clock: Clock,
         sockets: Sockets,
+        sent_ids: SentIds | None = None,
         subsetting: "SubsettingSettings | None" = None,
     ) -> None:
         self.name, self.contains = name, contains
@@ -61,7 +63,9 @@
         )
         # The CRC of an empty name is 0: the only pool, where there are no routes, uses the seed unchanged.
         balancer = Balancer(settings, config.seed + zlib.crc32(name.encode()))
-        self.dispatcher = self.connections.dispatcher = Dispatcher(balancer, loop, clock, self.connections)
+        self.dispatcher = self.connections.dispatcher = Dispatcher(
+            balancer, loop, clock, self.connections, sent_ids
+        )
         if self.subset is not None:
             self.dispatcher.on_attempt_ended = self.subset.attempt_ended
         self.states = WorkerStates()
--- a/wickgw/net/pools.py
+++ b/wickgw/net/pools.py
@@ -19,6 +19,7 @@
 from wickgw.net import http
 from wickgw.net.dispatch import Clock, PendingRequest
 from wickgw.net.pool_server import PoolServer
+from wickgw.net.sent_ids import create_sent_ids
 from wickgw.net.sockets import Sockets
 from wickgw.net.worker_list import Target
 from wickgw.observe import get_logger
@@ -76,9 +77,13 @@
         self._stop_deadline: float | None = None
         self._close_timer: asyncio.TimerHandle | None = None
         settings = config.settings
+        longest_deadline = max(each.deadline for each in settings.classes)
+        self.sent_ids = create_sent_ids(longest_deadline, config.passed_descriptor is not None)
         self.zone = settings.zones[settings.zone] if settings.zone < len(settings.zones) else ""
         if table is None:
-            self.servers[""] = PoolServer("", lambda target: True, config, loop, clock, sockets, subsetting)
+            self.servers[""] = PoolServer(
+                "", lambda target: True, config, loop, clock, sockets, self.sent_ids, subsetting
+            )
             self.counters = self.servers[""].dispatcher.counters
         else:
             self.counters = Counter[str]()
@@ -89,7 +94,7 @@
         def contains(target: Target) -> bool:
             return pool.includes(routing_worker(target))
 
-        common_arguments = self.config, self.loop, self.clock, self.sockets
+        common_arguments = self.config, self.loop, self.clock, self.sockets, self.sent_ids
         return PoolServer(pool.name, contains, *common_arguments, self.subsetting)
 
     @property
@@ -253,6 +258,7 @@
             self._close_timer.cancel()
         for server in self.all_servers:
             server.close()
+        self.sent_ids.close()
 
 
 class _WorkerCounts(dict[str, tuple[int, int]]):
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -10,6 +10,7 @@
 import itertools
 import math
 import resource
+import select
 import socket
 from collections.abc import Collection
 from typing import Any, ClassVar, Protocol, cast
@@ -91,8 +92,19 @@
         return self._peek() is None
 
     def peer_has_closed(self) -> bool:
-        """Return whether the peer has ended its side and no data is unread before that."""
-        return self._peek() == b""
+        """Return whether the peer has ended its side, however much data is unread before that."""
+        return self._peek() == b"" or self._has_end_behind_data()
+
+    def _has_end_behind_data(self) -> bool:
+        """Return whether the kernel has the peer's end, behind data that is not read yet."""
+        if self.sock is None:
+            return False
+        poll = select.poll()
+        poll.register(self.sock, select.POLLRDHUP)
+        try:
+            return bool(poll.poll(0))
+        except OSError:  # not on this platform: the end shows once the data is read
+            return False
 
     def abort(self) -> None:
         """Close at once. Data in the transport's buffer is not written."""
