Look for a client's end behind unread data only where there is any

Need: the look for the end cost a poll and a second peek for each job, though most clients have sent nothing more. Change: the kernel is asked for an end behind unread data only after a peek has found such data.

--- a/wickgw/net/clients.py
+++ b/wickgw/net/clients.py
@@ -258,12 +258,12 @@
         The end may lie behind input that the client sent before, here or still at the client. So that is read
         first.
         """
-        if self.peer_has_closed():
-            return True
         for _ in range(MAX_LOOKAHEAD_READS):
             next_byte = self._peek()
             if not next_byte:
                 return next_byte is not None
+            if self.has_end_behind_data():
+                return True
             assert self.sock is not None
             data = self.sock.recv(READ_SIZE_BYTES)
             if not self.discarding:
--- a/wickgw/net/sockets.py
+++ b/wickgw/net/sockets.py
@@ -91,11 +91,7 @@
         """Return whether the connection is open and nothing is unread, neither data nor the peer's end."""
         return self._peek() is None
 
-    def peer_has_closed(self) -> bool:
-        """Return whether the peer has ended its side, however much data is unread before that."""
-        return self._peek() == b"" or self._has_end_behind_data()
-
-    def _has_end_behind_data(self) -> bool:
+    def has_end_behind_data(self) -> bool:
         """Return whether the kernel has the peer's end, behind data that is not read yet."""
         if self.sock is None:
             return False
