Solve large fleets for q with what workers in later rows retained

Cause: the system of an incremental solve ends at the last row with data. The columns behind it, which DirectSolve puts on the right side with the q of a worker without data, were left out, and pending ticks were not added to them but discarded.

Change: pending ticks are added in all columns, and the later ones enter the right side.

--- a/wickgw/matrices.py
+++ b/wickgw/matrices.py
@@ -229,11 +229,13 @@
     """Solves for q in steps of a few milliseconds, for a large fleet.
 
     The first steps add the pending ticks to the matrices and copy the system, the others solve it. The system
-    has the first `row_count` rows, up to the last row with data, as of the start of the solve.
+    has the first `row_count` rows, up to the last row with data, as of the start of the solve. What workers in
+    later rows retained enters the right side with their q, which is that of a worker without data.
     """
 
     def __init__(self, matrices: Matrices, rows: list[int], retention: float) -> None:
         self.matrices, self.retention, self.row_count = matrices, retention, rows[-1] + 1
+        self.default_q = 1 / (1 - matrices.gamma * retention)
         self.pending_ticks, self.weight, self.next_row = matrices.pending_ticks, matrices.weight, 0
         if len(matrices.spare_buffer) != self.row_count:
             matrices.spare_buffer = np.zeros((self.row_count, self.row_count))
@@ -248,7 +250,7 @@
         matrices = self.matrices
         for _ in range(BLOCKS_PER_STEP):
             rows = slice(self.next_row, min(self.next_row + ROWS_PER_BLOCK, self.row_count))
-            matrices.apply_pending_to_rows(rows, self.pending_ticks, self.row_count)
+            matrices.apply_pending_to_rows(rows, self.pending_ticks, matrices.size)
             sigma, sigma_bar_t = (
                 matrices.sigma[rows, : self.row_count],
                 matrices.sigma_bar_t[rows, : self.row_count],
@@ -256,6 +258,8 @@
             self.matrix[rows], self.right_side[rows] = matrices.system_rows(
                 sigma, sigma_bar_t, self.next_row, self.retention, self.weight
             )
+            retained_later = matrices.sigma_bar_t[rows, self.row_count :].sum(axis=1)
+            self.right_side[rows] += matrices.gamma * self.default_q * retained_later
             self.next_row = rows.stop
             if self.next_row == self.row_count:
                 matrices.discard_pending(self.pending_ticks)
