Write no sent id once the files of an upgrade are closed

Cause: attempts that end after the pools are closed take their ids back, and the descriptor may be another file's by then. Change: a closed store writes nothing. Measured: the new test fails without it; 20 tests of repeated ids pass.

--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -327,6 +327,19 @@
         each.close()
 
 
+def test_nothing_is_written_once_the_files_are_closed(tmp_path: Path) -> None:
+    """Guards against a write to a descriptor that is another file's by then."""
+    ids = SharedSentIds(10.0, tmp_path)
+    ids.remember("id", 0.0)
+    descriptor = ids._descriptor
+    ids.close()
+    other = os.open(tmp_path / "other", os.O_RDWR | os.O_CREAT)
+    assert other == descriptor
+    ids.forget("id")
+    assert os.fstat(other).st_size == 0
+    os.close(other)
+
+
 def test_unwritable_directory_is_no_reason_not_to_serve(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/wickgw/net/shared_ids.py
+++ b/wickgw/net/shared_ids.py
@@ -76,6 +76,7 @@
             os.close(other.descriptor)
         self._others.clear()
         os.close(self._descriptor)
+        self._descriptor = -1
 
     # Its own files.
 
@@ -88,6 +89,8 @@
         return descriptor
 
     def _write(self, request_id: str, forget_at: float) -> None:
+        if self._descriptor < 0:  # attempts that end as the process does
+            return
         try:
             if self._records >= MAX_FILE_RECORDS:
                 self._begin_next_file()
