--- a/wickgw/matrices.py
+++ b/wickgw/matrices.py
@@ -229,8 +229,8 @@
     """Solves for q in steps of a few milliseconds, for a large fleet.
 
     The first steps add the pending ticks to the matrices and copy the system, the others solve it. The system
-    has the first `row_count` rows, up to the last row with data, as of the start of the solve. What workers in
-    later rows retained enters the right side with their q, which is that of a worker without data.
+    has the first `row_count` rows, up to the last row with data, as of the start of the solve. What workers
+    in later rows retained enters the right side with their q, which is that of a worker without data.
     """
 
     def __init__(self, matrices: Matrices, rows: list[int], retention: float) -> None:
