--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -46,6 +46,9 @@
     good = "tests/test_a.py::test_one | a cause | 29"
     (red,) = read_known_failures(f"{good}\n\n", tmp_path)
     assert (red.test, red.cause, red.issue) == ("tests/test_a.py::test_one", "a cause", "29")
+    assert not red.is_intermittent
+    (red,) = read_known_failures(good.replace("a cause", "intermittent: a cause"), tmp_path)
+    assert red.is_intermittent
     for old, new in (
         ("one", "none"),
         ("_a.py", "_b.py"),
